--- /dev/null
+++ b/standins/backend/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
