Add the engine: controllers, filters and the decision loop

Cause: the parts of the core need one owner of state that decides without a clock, a socket or a thread. Conclusion: first complete form of the request path.

--- /dev/null
+++ b/src/libjujubedrum/engine/dispatch_engine.cpp
@@ -0,0 +1,1035 @@
+#include "engine/dispatch_engine.hpp"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+/// Time a new instance gives its peers to report a newer configuration.
+constexpr microseconds peer_grace = milliseconds(1500);
+
+claim_settings claim_settings_of(const tunables& values)
+{
+    claim_settings settings;
+    settings.window = values.claim_window;
+    settings.clock_skew = values.clock_skew;
+    settings.timeout = values.claim_timeout;
+    return settings;
+}
+
+job_table_limits table_limits_of(const engine_options& options)
+{
+    job_table_limits limits;
+    limits.max_bytes = options.answer_budget_bytes;
+    limits.answer_lifetime = std::max(options.tunables.answer_lifetime,
+                                      options.tunables.id_lifetime);
+    return limits;
+}
+
+grant_options grant_options_of(const tunables& values)
+{
+    grant_options options;
+    options.linger = values.grant_linger;
+    return options;
+}
+
+member_options member_options_of(const tunables& values)
+{
+    member_options options;
+    options.round = values.heartbeat_interval;
+    return options;
+}
+
+job_options job_options_of(const engine_options& options)
+{
+    job_options result;
+    result.max_in_flight = options.max_in_flight;
+    return result;
+}
+
+std::unique_ptr<placement_policy>
+policy_of(const engine_options& options, const placement_context& context)
+{
+    placement_reason why;
+    return make_policy(to_string(options.policy), context, why);
+}
+
+} // namespace
+
+dispatch_engine::dispatch_engine(const engine_options& initial,
+                                 metrics_sink& sink)
+    : options(initial)
+    , metrics(sink)
+    , random(initial.seed)
+    , policy(policy_of(initial, {this->pool, this->stats, this->random}))
+    , grants(initial.self.name, this->pool, this->stats,
+             grant_options_of(initial.tunables))
+    , quotas(initial.self.name)
+    , table(table_limits_of(initial))
+    , issuer(initial.self.name, initial.incarnation,
+             initial.tunables.id_lifetime)
+    , admitter(job_options().max_queued_tasks)
+    , jobs({*this->policy, this->pool, this->stats, this->table, this->budget,
+            this->quotas, this->random, this->out, sink},
+           job_options_of(initial))
+    , config(initial.admin_public_key, initial.tunables.log_retention,
+             this->random, this->out)
+    , claims(initial.self.name, initial.incarnation,
+             claim_settings_of(initial.tunables), this->random, this->out)
+    , members(initial.self, initial.incarnation,
+              member_options_of(initial.tunables), this->pool, this->stats,
+              this->grants, this->quotas)
+{
+}
+
+std::vector<action> dispatch_engine::handle(event next, instant at,
+                                            wall_time wall_now)
+{
+    this->now = at;
+    this->wall = wall_now;
+    if (this->started_at < instant(0))
+    {
+        this->started_at = at;
+    }
+    std::visit([this](auto&& value) { this->on(std::move(value)); },
+               std::move(next));
+    this->settle_claims();
+    this->refresh_members();
+    this->apply_document();
+    this->borrow_slots();
+    return this->out.take();
+}
+
+bool dispatch_engine::idle() const
+{
+    return this->jobs.running() == 0 && this->jobs.in_flight() == 0 &&
+           this->claiming.empty();
+}
+
+void dispatch_engine::on(submit_event&& next)
+{
+    if (next.job.id().empty())
+    {
+        next.job = next.job.with_id(
+            this->issuer.issue(1, this->now).first().text());
+    }
+    if (this->answer_known(next.token, next.job))
+    {
+        return;
+    }
+    const auto issued = issued_id::parse(next.job.id());
+    if (issued)
+    {
+        this->submit_issued(std::move(next), *issued);
+        return;
+    }
+    this->submit_chosen(std::move(next));
+}
+
+void dispatch_engine::on(collect_event&& next)
+{
+    const auto known = this->table.find(next.id);
+    if (known && (known->team.empty() || known->team == next.team))
+    {
+        if (known->running())
+        {
+            this->jobs.add_waiter(next.id, next.token);
+            return;
+        }
+        this->reply(next.token, next.id, *known->result);
+        return;
+    }
+    const auto claim = this->claiming.find(next.id);
+    if (claim != this->claiming.end() &&
+        claim->second.job.team() == next.team)
+    {
+        claim->second.waiters.push_back(next.token);
+        return;
+    }
+    if (!known && this->pass_on(next.token, next.id, next.hops,
+                                collect_request{next.id, next.team, {}}))
+    {
+        return;
+    }
+    this->reply_error(next.token, 404, "unknown_id",
+                      "the id is not known here; resubmit the job with the "
+                      "same id to learn its outcome");
+}
+
+void dispatch_engine::on(cancel_event&& next)
+{
+    const auto known = this->table.find(next.id);
+    if (known && known->team == next.team)
+    {
+        if (known->running())
+        {
+            this->jobs.add_waiter(next.id, next.token);
+            this->jobs.cancel(next.id, this->now);
+            return;
+        }
+        this->reply(next.token, next.id, *known->result);
+        return;
+    }
+    if (!known && this->pass_on(next.token, next.id, next.hops,
+                                cancel_request{next.id, next.team}))
+    {
+        return;
+    }
+    this->reply_error(next.token, 404, "unknown_id", "the id is not known");
+}
+
+void dispatch_engine::on(ids_event&& next)
+{
+    this->out.add(
+        ids_action{next.token, this->issuer.issue(next.count, this->now)});
+}
+
+void dispatch_engine::on(task_event&& next)
+{
+    this->jobs.on_task_reply(next.attempt, next.reply, this->now);
+}
+
+void dispatch_engine::on(list_event&& next)
+{
+    this->members.on_list(next, this->now);
+    this->jobs.pump(this->now);
+}
+
+void dispatch_engine::on(records_event&& next)
+{
+    if (claim_controller::is_claim_stream(next.stream))
+    {
+        this->claims.on_records(next, this->now, this->wall);
+        return;
+    }
+    this->config.on_records(next, this->now);
+}
+
+void dispatch_engine::on(read_failed_event&& next)
+{
+    if (claim_controller::is_claim_stream(next.stream))
+    {
+        this->claims.on_read_failed(next.stream, this->now);
+        return;
+    }
+    if (next.stream == config_controller::stream)
+    {
+        this->config.on_read_failed();
+    }
+}
+
+void dispatch_engine::on(append_event&& next)
+{
+    if (claim_controller::is_claim_stream(next.stream))
+    {
+        this->claims.on_append(next);
+        return;
+    }
+    this->config.on_append(next, this->now);
+}
+
+void dispatch_engine::on(peer_request_event&& next)
+{
+    std::visit([this, &next](auto&& request)
+               { this->on_peer(next.token, std::move(request)); },
+               std::move(next.request));
+}
+
+void dispatch_engine::on(peer_reply_event&& next)
+{
+    const auto found = this->calls.find(next.call);
+    if (found == this->calls.end())
+    {
+        return;
+    }
+    pending_call context = std::move(found->second);
+    this->calls.erase(found);
+    std::visit([this, &next](auto& call)
+               { this->on_result(call, next.reply); },
+               context);
+}
+
+void dispatch_engine::on(tick_event&& /*next*/)
+{
+    this->send_heartbeats();
+    this->return_slots();
+    this->claims.set_flush_interval(
+        std::max<microseconds>(milliseconds(5),
+                               microseconds(seconds(this->members
+                                                        .live_entries())) /
+                                   this->options.tunables.claim_append_budget));
+    this->claims.tick(this->now, this->wall);
+    this->config.tick(this->now);
+    this->table.expire(this->now);
+    this->jobs.tick(this->now);
+    this->fetch_newer_document();
+    this->update_ready();
+}
+
+void dispatch_engine::on(drain_event&& /*next*/)
+{
+    this->is_draining = true;
+    this->jobs.drain(this->now);
+}
+
+void dispatch_engine::on_peer(request_token token, heartbeat_request&& request)
+{
+    this->members.table().on_digest(request.digest, this->now);
+    heartbeat_reply answer;
+    answer.revoked = this->grants.on_report(request.grants, this->now);
+    this->grants.on_peer_free(request.digest.name, request.digest.free_slots,
+                              this->now);
+    answer.digest = this->members.table().make_digest(
+        this->phase(), this->config.revision(), this->pool.free(),
+        static_cast<std::uint32_t>(this->jobs.queued()));
+    this->out.add(reply_peer_action{token, std::move(answer)});
+    this->jobs.pump(this->now);
+}
+
+void dispatch_engine::on_peer(request_token token, borrow_request&& request)
+{
+    this->out.add(
+        reply_peer_action{token, this->grants.lend(request, this->now)});
+}
+
+void dispatch_engine::on_peer(request_token token, grant_report&& request)
+{
+    give_back_reply answer;
+    answer.revoked = this->grants.on_report(request, this->now);
+    this->out.add(reply_peer_action{token, std::move(answer)});
+    this->jobs.pump(this->now);
+}
+
+void dispatch_engine::on_peer(request_token token, submit_request&& request)
+{
+    const auto& document = this->config.document();
+    const kind_defaults defaults =
+        [&document](const std::string& team, const std::string& kind)
+    {
+        kind_default found;
+        const team_settings* settings = document.find_team(team);
+        const kind_settings* declared =
+            settings == nullptr ? nullptr : settings->find_kind(kind);
+        if (declared != nullptr)
+        {
+            found.repeatable = declared->repeatable();
+            found.run_time = declared->run_time();
+            found.memory_mb = declared->memory_mb();
+        }
+        return found;
+    };
+    job_reason why;
+    auto job = submission::parse(request.job, submission_limits(), defaults,
+                                 why);
+    if (!job)
+    {
+        this->reply_error(token, 400, "malformed", why.message());
+        return;
+    }
+    submit_event next;
+    next.token = token;
+    next.job = std::move(*job);
+    next.remaining = request.remaining;
+    next.hops = request.hops;
+    this->on(std::move(next));
+}
+
+void dispatch_engine::on_peer(request_token token, collect_request&& request)
+{
+    this->on(collect_event{token, request.id, request.team, 1});
+}
+
+void dispatch_engine::on_peer(request_token token, cancel_request&& request)
+{
+    this->on(cancel_event{token, request.id, request.team, 1});
+}
+
+void dispatch_engine::on_peer(request_token token,
+                              config_records_request&& /*request*/)
+{
+    config_records_reply answer;
+    answer.records = this->config.records_for_peer();
+    this->out.add(reply_peer_action{token, std::move(answer)});
+}
+
+void dispatch_engine::on_result(forwarded_call& call, peer_reply& reply)
+{
+    if (const auto* answer = std::get_if<job_reply>(&reply))
+    {
+        if (auto parsed = api_reply::parse(answer->body))
+        {
+            this->out.add(reply_action{call.token, std::move(*parsed)});
+            return;
+        }
+    }
+    if (call.job && call.job->has_caller_id())
+    {
+        // The claim on the log decides, whether or not the peer got the job.
+        this->claim(std::move(*call.job), call.token, call.received,
+                    call.deadline);
+        return;
+    }
+    this->answer_unreachable(call.token, call.id);
+}
+
+void dispatch_engine::on_result(heartbeat_call& call, peer_reply& reply)
+{
+    const auto* answer = std::get_if<heartbeat_reply>(&reply);
+    if (answer == nullptr)
+    {
+        this->members.table().on_heartbeat_failed(call.peer, this->now);
+        return;
+    }
+    this->members.table().on_reply(answer->digest, call.sent, this->now);
+    this->grants.on_peer_free(call.peer, answer->digest.free_slots, this->now);
+    this->grants.on_revoked(call.peer, answer->revoked);
+}
+
+void dispatch_engine::on_result(borrow_call& call, peer_reply& reply)
+{
+    const auto* answer = std::get_if<borrow_reply>(&reply);
+    if (answer == nullptr)
+    {
+        this->grants.on_no_reply(call.sequence, this->now);
+        return;
+    }
+    this->grants.on_reply(*answer, this->now);
+    this->jobs.pump(this->now);
+}
+
+void dispatch_engine::on_result(report_call& call, peer_reply& reply)
+{
+    if (const auto* answer = std::get_if<give_back_reply>(&reply))
+    {
+        this->grants.on_revoked(call.lender, answer->revoked);
+    }
+}
+
+void dispatch_engine::on_result(config_call& /*call*/, peer_reply& reply)
+{
+    this->fetching_config = false;
+    if (const auto* answer = std::get_if<config_records_reply>(&reply))
+    {
+        this->config.on_peer_records(answer->records, this->now);
+    }
+}
+
+void dispatch_engine::reply(request_token token, const std::string& id,
+                            outcome result)
+{
+    this->out.add(reply_action{token, api_reply(id, std::move(result))});
+}
+
+void dispatch_engine::reply_error(request_token token, int status,
+                                  std::string code, std::string text)
+{
+    this->out.add(reply_action{
+        token,
+        api_reply(api_error{status, std::move(code), std::move(text)})});
+}
+
+bool dispatch_engine::answer_known(request_token token, const submission& job)
+{
+    const auto known = this->table.find(job.id());
+    if (known)
+    {
+        if (!known->digest.empty() && known->digest != job.digest())
+        {
+            this->reply_error(token, 409, "conflict",
+                              "the id belongs to a job with another body");
+        }
+        else if (known->running())
+        {
+            this->jobs.add_waiter(job.id(), token);
+        }
+        else
+        {
+            this->reply(token, job.id(), *known->result);
+        }
+        return true;
+    }
+    const auto claim = this->claiming.find(job.id());
+    if (claim == this->claiming.end())
+    {
+        return false;
+    }
+    if (claim->second.job.digest() != job.digest())
+    {
+        this->reply_error(token, 409, "conflict",
+                          "the id belongs to a job with another body");
+        return true;
+    }
+    claim->second.waiters.push_back(token);
+    return true;
+}
+
+void dispatch_engine::submit_issued(submit_event&& next, const issued_id& id)
+{
+    const std::string text = next.job.id();
+    if (!this->issuer.owns(id))
+    {
+        if (id.instance() == this->options.self.name ||
+            this->members.table().is_dead(id.instance(), id.incarnation(),
+                                          this->now))
+        {
+            this->reply(next.token, text,
+                        outcome::failed(outcome_reason::instance_dead,
+                                        "the instance that issued the id is "
+                                        "gone; the tasks may have run"));
+            return;
+        }
+        if (next.hops > 0)
+        {
+            this->answer_unreachable(next.token, text);
+            return;
+        }
+        this->forward(std::move(next), id.instance());
+        return;
+    }
+    if (!this->issuer.was_issued(id))
+    {
+        this->reply_error(next.token, 400, "unknown_id",
+                          "the id was not issued by this instance");
+        return;
+    }
+    if (!this->issuer.usable(id, this->now))
+    {
+        this->reply(next.token, text,
+                    outcome::failed(outcome_reason::id_expired,
+                                    "the id has expired; the tasks may have "
+                                    "run"));
+        return;
+    }
+    const instant deadline = this->now + next.remaining;
+    this->admit(std::move(next.job), {next.token}, this->now, deadline);
+}
+
+void dispatch_engine::submit_chosen(submit_event&& next)
+{
+    const std::string stream = claim_controller::stream_name(
+        claim_controller::stream_of(next.job.id()));
+    const std::string owner = this->members.preferred(stream);
+    if (owner != this->options.self.name && next.hops == 0 &&
+        this->members.reachable(owner))
+    {
+        this->forward(std::move(next), owner);
+        return;
+    }
+    const instant deadline = this->now + next.remaining;
+    this->claim(std::move(next.job), next.token, this->now, deadline);
+}
+
+void dispatch_engine::claim(submission job, request_token token,
+                            instant received, instant deadline)
+{
+    if (this->answer_known(token, job))
+    {
+        return;
+    }
+    if (auto refused = this->refuse(job, deadline))
+    {
+        this->end_unsent(job, {token}, std::move(*refused));
+        return;
+    }
+    const std::string id = job.id();
+    job_reason why;
+    if (this->claims.claim(id, job.digest(), job.created_at().value_or(wall_time(0)),
+                           this->now, this->wall, why))
+    {
+        this->claiming[id] = {std::move(job), received, deadline, {token}};
+        return;
+    }
+    switch (why.code())
+    {
+    case job_error::too_old:
+        this->reply(token, id,
+                    outcome::failed(outcome_reason::id_expired, why.message()));
+        return;
+    case job_error::in_future:
+        this->reply(token, id,
+                    outcome::not_run(outcome_reason::clock_skew, why.message(),
+                                     false));
+        return;
+    default:
+        this->reply(token, id,
+                    outcome::not_run(outcome_reason::overloaded, why.message(),
+                                     true));
+        return;
+    }
+}
+
+void dispatch_engine::forward(submit_event&& next, const std::string& to)
+{
+    const std::string id = next.job.id();
+    const auto peer = this->members.reachable(to);
+    if (!peer)
+    {
+        this->answer_unreachable(next.token, id);
+        return;
+    }
+    submit_request request;
+    request.job = next.job.to_json();
+    request.remaining = next.remaining;
+    request.hops = next.hops + 1;
+    forwarded_call context;
+    context.token = next.token;
+    context.id = id;
+    context.received = this->now;
+    context.deadline = this->now + next.remaining;
+    context.peer = to;
+    context.job = std::move(next.job);
+    this->metrics.on_message(message_cause::forward, 2);
+    this->call(*peer, std::move(request), std::move(context));
+}
+
+void dispatch_engine::answer_unreachable(request_token token,
+                                         const std::string& id)
+{
+    this->reply(token, id,
+                outcome::in_progress(
+                    outcome_reason::instance_unreachable,
+                    "the instance that holds the id cannot be reached; ask "
+                    "again with the same id"));
+}
+
+bool dispatch_engine::pass_on(request_token token, const std::string& id,
+                              std::uint32_t hops, const peer_request& request)
+{
+    const auto issued = issued_id::parse(id);
+    std::string holder;
+    if (issued)
+    {
+        if (this->issuer.owns(*issued))
+        {
+            return false;
+        }
+        if (issued->instance() == this->options.self.name ||
+            this->members.table().is_dead(issued->instance(),
+                                          issued->incarnation(), this->now))
+        {
+            this->reply(token, id,
+                        outcome::failed(outcome_reason::instance_dead,
+                                        "the instance that issued the id is "
+                                        "gone; the tasks may have run"));
+            return true;
+        }
+        holder = issued->instance();
+    }
+    else
+    {
+        holder = this->members.preferred(
+            claim_controller::stream_name(claim_controller::stream_of(id)));
+    }
+    if (hops > 0 || holder == this->options.self.name)
+    {
+        return false;
+    }
+    const auto peer = this->members.reachable(holder);
+    if (!peer)
+    {
+        this->answer_unreachable(token, id);
+        return true;
+    }
+    forwarded_call context;
+    context.token = token;
+    context.id = id;
+    context.peer = holder;
+    this->metrics.on_message(message_cause::forward, 2);
+    this->call(*peer, request, std::move(context));
+    return true;
+}
+
+void dispatch_engine::admit(submission job,
+                            const std::vector<request_token>& waiters,
+                            instant received, instant deadline)
+{
+    if (auto refused = this->refuse(job, deadline))
+    {
+        this->end_unsent(job, waiters, std::move(*refused));
+        return;
+    }
+    const std::size_t tasks = job.tasks().size();
+    const std::string id = job.id();
+    team_quota* quota = this->quotas.find(job.team());
+    if (quota != nullptr && !quota->admit(tasks, this->now))
+    {
+        this->end_unsent(job, waiters,
+                         outcome::not_run(outcome_reason::over_quota,
+                                          "the team is over its quota of task "
+                                          "starts",
+                                          true));
+        return;
+    }
+    if (this->table.open(job, this->now) != open_verdict::opened)
+    {
+        if (quota != nullptr)
+        {
+            quota->refund(tasks);
+        }
+        for (const request_token token : waiters)
+        {
+            this->reply(token, id,
+                        outcome::not_run(outcome_reason::overloaded,
+                                         "too many jobs are running", true));
+        }
+        return;
+    }
+    this->jobs.start(std::move(job), received, deadline, this->now);
+    for (const request_token token : waiters)
+    {
+        this->jobs.add_waiter(id, token);
+    }
+}
+
+std::optional<outcome> dispatch_engine::refuse(const submission& job,
+                                               instant deadline)
+{
+    if (this->is_draining)
+    {
+        return outcome::not_run(outcome_reason::draining,
+                                "the instance is stopping", true);
+    }
+    if (deadline <= this->now)
+    {
+        return outcome::not_run(outcome_reason::deadline,
+                                "the deadline passed", true);
+    }
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(deadline - this->now);
+    switch (this->admitter.check(job, left, this->capacity()))
+    {
+    case admission_verdict::admitted:
+        return std::nullopt;
+    case admission_verdict::never_runs:
+        return outcome::not_run(outcome_reason::cannot_run,
+                                "no backend server can run a task of this "
+                                "memory or within this deadline",
+                                false);
+    case admission_verdict::queue_full:
+        return outcome::not_run(outcome_reason::overloaded,
+                                "the queue is full", true);
+    case admission_verdict::deadline_too_near:
+        return outcome::not_run(outcome_reason::deadline,
+                                "the estimated wait exceeds the deadline",
+                                true);
+    }
+    return std::nullopt;
+}
+
+void dispatch_engine::end_unsent(const submission& job,
+                                 const std::vector<request_token>& waiters,
+                                 outcome result)
+{
+    // The refusal is stored, so that a delayed copy of the request cannot run
+    // a job that its caller was told did not run.
+    if (this->table.open(job, this->now) == open_verdict::opened)
+    {
+        this->table.finish(job.id(), result, this->now);
+    }
+    this->metrics.on_message(message_cause::refusal, 1);
+    this->metrics.on_job_finished(to_string(result.kind()), 0.0);
+    for (const request_token token : waiters)
+    {
+        this->reply(token, job.id(), result);
+    }
+}
+
+void dispatch_engine::call(const peer_address& peer, peer_request request,
+                           pending_call context)
+{
+    const call_id id = ++this->last_call;
+    this->calls.emplace(id, std::move(context));
+    this->out.add(call_peer_action{id, peer, std::move(request)});
+}
+
+void dispatch_engine::settle_claims()
+{
+    for (const claim_verdict& verdict : this->claims.take_verdicts())
+    {
+        this->settle_claim(verdict);
+    }
+}
+
+void dispatch_engine::settle_claim(const claim_verdict& verdict)
+{
+    const auto found = this->claiming.find(verdict.id);
+    if (found == this->claiming.end())
+    {
+        return;
+    }
+    claiming_job job = std::move(found->second);
+    this->claiming.erase(found);
+    if (verdict.result == claim_result::won)
+    {
+        this->admit(std::move(job.job), job.waiters, job.received,
+                    job.deadline);
+        return;
+    }
+    if (verdict.result == claim_result::withdrawn)
+    {
+        this->end_unsent(job.job, job.waiters,
+                         outcome::not_run(outcome_reason::log_unavailable,
+                                          "the id could not be claimed on the "
+                                          "platform's log; use an issued id, "
+                                          "or try again",
+                                          true));
+        return;
+    }
+    const bool dead = this->members.table().is_dead(
+        verdict.instance, verdict.incarnation, this->now);
+    for (const request_token token : job.waiters)
+    {
+        if (verdict.digest != job.job.digest())
+        {
+            this->reply_error(token, 409, "conflict",
+                              "the id belongs to a job with another body");
+        }
+        else if (dead || verdict.instance == this->options.self.name)
+        {
+            this->reply(token, verdict.id,
+                        outcome::failed(outcome_reason::instance_dead,
+                                        "the instance that claimed the id is "
+                                        "gone; the tasks may have run"));
+        }
+        else if (const auto peer = this->members.reachable(verdict.instance))
+        {
+            forwarded_call context;
+            context.token = token;
+            context.id = verdict.id;
+            context.peer = verdict.instance;
+            this->metrics.on_message(message_cause::forward, 2);
+            this->call(*peer,
+                       collect_request{verdict.id, job.job.team(), {}},
+                       std::move(context));
+        }
+        else
+        {
+            this->answer_unreachable(token, verdict.id);
+        }
+    }
+}
+
+void dispatch_engine::send_heartbeats()
+{
+    for (const instance_info& peer : this->members.table().tick(this->now))
+    {
+        heartbeat_request request;
+        request.digest = this->members.table().make_digest(
+            this->phase(), this->config.revision(), this->pool.free(),
+            static_cast<std::uint32_t>(this->jobs.queued()));
+        request.grants = this->grants.report_for(peer.name);
+        this->metrics.on_message(message_cause::control, 2);
+        this->call({peer.name, peer.address, peer.rpc_port},
+                   std::move(request), heartbeat_call{peer.name, this->now});
+    }
+}
+
+void dispatch_engine::borrow_slots()
+{
+    if (this->jobs.queued() == 0 || !this->policy->uses_owned_slots() ||
+        this->is_draining)
+    {
+        return;
+    }
+    const auto planned =
+        this->grants.plan_request(this->jobs.queued(), this->now);
+    if (!planned)
+    {
+        return;
+    }
+    const auto peer = this->members.reachable(planned->lender);
+    if (!peer)
+    {
+        this->grants.on_no_reply(planned->request.sequence, this->now);
+        return;
+    }
+    this->metrics.on_message(message_cause::grant, 2);
+    this->call(*peer, planned->request,
+               borrow_call{planned->request.sequence});
+}
+
+void dispatch_engine::return_slots()
+{
+    for (const planned_report& report : this->grants.tick(this->now))
+    {
+        const auto peer = this->members.reachable(report.lender);
+        if (!peer)
+        {
+            continue;
+        }
+        this->metrics.on_message(message_cause::grant, 2);
+        this->call(*peer, report.report, report_call{report.lender});
+    }
+}
+
+void dispatch_engine::refresh_members()
+{
+    if (this->members.refresh(this->now))
+    {
+        this->jobs.pump(this->now);
+    }
+}
+
+void dispatch_engine::apply_document()
+{
+    if (this->applied_revision == this->config.revision())
+    {
+        return;
+    }
+    this->applied_revision = this->config.revision();
+    const auto& document = this->config.document();
+    this->quotas.set_document(document, this->now);
+    for (const std::string& name : document.team_names())
+    {
+        const double weight = document.find_team(name)->weight();
+        this->jobs.tasks().set_weight(name, weight);
+        this->admitter.set_weight(name, weight);
+    }
+    retry_settings retries;
+    retries.fraction = document.system().retry_percent() / 100.0;
+    this->budget = retry_budget(retries);
+    job_options changed = this->jobs.current_options();
+    changed.hedging =
+        document.system().objective() == objective::response_time;
+    this->jobs.set_options(changed);
+    this->out.add(document_action{this->applied_revision});
+}
+
+void dispatch_engine::fetch_newer_document()
+{
+    const auto highest = this->members.table().highest_revision();
+    if (this->fetching_config || !highest ||
+        highest->revision <= this->config.revision())
+    {
+        return;
+    }
+    const auto peer = this->members.reachable(highest->name);
+    if (!peer)
+    {
+        return;
+    }
+    this->fetching_config = true;
+    this->metrics.on_message(message_cause::control, 2);
+    this->call(*peer, config_records_request{this->config.next_offset()},
+               config_call{});
+}
+
+void dispatch_engine::update_ready()
+{
+    if (this->is_ready)
+    {
+        return;
+    }
+    const auto highest = this->members.table().highest_revision();
+    const bool behind_peer =
+        highest && highest->revision > this->config.revision();
+    const bool source_read =
+        this->config.caught_up() || this->config.revision() > 0;
+    this->is_ready = source_read && !behind_peer &&
+                     this->now - this->started_at >= peer_grace &&
+                     this->members.table().list_version() > 0;
+}
+
+capacity_view dispatch_engine::capacity() const
+{
+    capacity_view view;
+    double fastest = 0;
+    for (const auto& [name, server] : this->pool.servers())
+    {
+        if (!server.usable)
+        {
+            continue;
+        }
+        view.largest_memory_mb =
+            std::max(view.largest_memory_mb,
+                     static_cast<std::uint32_t>(server.server.memory_mb()));
+        fastest = std::max(
+            fastest, 1.0 / std::max(this->stats.slowness(name), 0.01));
+    }
+    view.fastest_speed = fastest > 0 ? fastest : 1.0;
+    view.slots = this->pool.capacity();
+    return view;
+}
+
+peer_phase dispatch_engine::phase() const
+{
+    if (this->is_draining)
+    {
+        return peer_phase::leaving;
+    }
+    return this->is_ready ? peer_phase::ready : peer_phase::starting;
+}
+
+std::string dispatch_engine::status() const
+{
+    nlohmann::json peers = nlohmann::json::array();
+    for (const peer_view& peer : this->members.table().peers())
+    {
+        peers.push_back({{"name", peer.info.name},
+                         {"domain", peer.info.domain},
+                         {"state", to_string(peer.state)}});
+    }
+    return nlohmann::json{
+        {"instance", this->options.self.name},
+        {"domain", this->options.self.domain},
+        {"incarnation", incarnation_text(this->options.incarnation)},
+        {"ready", this->is_ready},
+        {"draining", this->is_draining},
+        {"revision", this->config.revision()},
+        {"peers", peers}}
+        .dump();
+}
+
+std::string dispatch_engine::dump(instant at) const
+{
+    using nlohmann::json;
+    json servers = json::array();
+    for (const auto& [name, server] : this->pool.servers())
+    {
+        servers.push_back({{"name", name},
+                           {"domain", server.server.domain()},
+                           {"usable", server.usable},
+                           {"owned", server.owned},
+                           {"lent", server.lent},
+                           {"borrowed", server.borrowed},
+                           {"busy", server.busy},
+                           {"slowness", this->stats.slowness(name)}});
+    }
+    json teams = json::object();
+    for (const auto& [name, quota] : this->quotas.teams())
+    {
+        teams[name] = {{"tasks_per_second", quota.rate()},
+                       {"in_flight", quota.in_flight()},
+                       {"in_flight_cap", quota.in_flight_cap()}};
+    }
+    json whole = json::parse(this->status());
+    whole["time_us"] = at.count();
+    whole["servers"] = servers;
+    whole["teams"] = teams;
+    whole["jobs"] = {{"running", this->jobs.running()},
+                     {"queued_tasks", this->jobs.queued()},
+                     {"tasks_in_flight", this->jobs.in_flight()},
+                     {"answers", this->table.stored()},
+                     {"tombstones", this->table.tombstones()},
+                     {"bytes", this->table.bytes()}};
+    whole["claims"] = {{"pending", this->claims.pending()},
+                       {"known", this->claims.known()}};
+    whole["grants"] = {{"lent", this->grants.lent_grants()},
+                       {"held", this->grants.held_grants()}};
+    whole["config"] = {{"revision", this->config.revision()},
+                       {"next_offset", this->config.next_offset()},
+                       {"refused_edits", this->config.refused()},
+                       {"read_failures", this->config.read_failures()},
+                       {"caught_up", this->config.caught_up()}};
+    whole["peer_calls"] = this->calls.size();
+    return whole.dump();
+}
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libjujubedrum/engine/peer_messages.hpp
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "base/log_record.hpp"
+#include "base/time.hpp"
+#include "membership/peer_digest.hpp"
+#include "placement/grant_messages.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// Where the RPC of a peer is reached.
+struct peer_address
+{
+    /// Instance name; there is one connection per name.
+    std::string name;
+    /// Numeric IP address.
+    std::string address;
+    std::uint16_t rpc_port = 0;
+
+    auto operator<=>(const peer_address&) const = default;
+};
+
+struct heartbeat_request
+{
+    peer_digest digest;
+    /// What the sender holds of the receiver's slots.
+    grant_report grants;
+    bool operator==(const heartbeat_request&) const = default;
+};
+
+struct submit_request
+{
+    /// The job body as JSON text, id included.
+    std::string job;
+    /// Time left until the deadline of the job when the request was made.
+    microseconds remaining{0};
+    /// How often the job has been forwarded already.
+    std::uint32_t hops = 0;
+    bool operator==(const submit_request&) const = default;
+};
+
+struct collect_request
+{
+    std::string id;
+    /// Team of the caller; another team's job stays unknown to it.
+    std::string team;
+    /// How long the peer may wait for the outcome.
+    microseconds wait{0};
+    bool operator==(const collect_request&) const = default;
+};
+
+struct cancel_request
+{
+    std::string id;
+    std::string team;
+    bool operator==(const cancel_request&) const = default;
+};
+
+struct config_records_request
+{
+    std::uint64_t from = 0;
+    bool operator==(const config_records_request&) const = default;
+};
+
+struct heartbeat_reply
+{
+    peer_digest digest;
+    /// Grants in the report that the receiver does not know.
+    std::vector<std::uint64_t> revoked;
+    bool operator==(const heartbeat_reply&) const = default;
+};
+
+struct give_back_reply
+{
+    std::vector<std::uint64_t> revoked;
+    bool operator==(const give_back_reply&) const = default;
+};
+
+/// Reply to `submit_request`, `collect_request` and `cancel_request`.
+struct job_reply
+{
+    /// The outcome or error as JSON text.
+    std::string body;
+    bool operator==(const job_reply&) const = default;
+};
+
+struct config_records_reply
+{
+    /// Records of stream `config`, or one snapshot record.
+    std::vector<log_record> records;
+    bool operator==(const config_records_reply&) const = default;
+};
+
+/// Errors of the peer RPC.
+enum class peer_error
+{
+    none,
+    /// No connection could be made, or it broke.
+    unreachable,
+    timeout,
+    /// The peer answered with an error, or the message breaks a limit.
+    refused,
+    /// Too many calls are outstanding here or at the peer.
+    overloaded,
+    /// The listening socket could not be set up.
+    cannot_listen
+};
+
+/// Whether a failed request can have reached the peer.
+enum class peer_delivery
+{
+    not_sent,
+    unknown
+};
+
+/// Ends a call that got no reply, or answers a request with an error.
+struct peer_failure
+{
+    peer_error error = peer_error::none;
+    peer_delivery delivery = peer_delivery::unknown;
+    std::string text;
+    bool operator==(const peer_failure&) const = default;
+};
+
+/// The alternatives are in the order of `peer_call_names`.
+using peer_request =
+    std::variant<heartbeat_request, borrow_request, grant_report,
+                 submit_request, collect_request, cancel_request,
+                 config_records_request>;
+
+using peer_reply =
+    std::variant<heartbeat_reply, borrow_reply, give_back_reply, job_reply,
+                 config_records_reply, peer_failure>;
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libjujubedrum/engine/request_filter.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "base/time.hpp"
+#include "config/document.hpp"
+#include "engine/api_reply.hpp"
+#include "jobs/submission.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// A submission on its way through the filters.
+struct request_context
+{
+    /// Configuration in force when the request arrived.
+    class document config;
+    /// Token from the `Authorization` header; empty if there is none.
+    std::string token;
+    /// Request body.
+    std::string body;
+    /// Set by `parse_filter`.
+    std::optional<submission> job;
+    /// Time left for the job; set by `deadline_filter`.
+    microseconds remaining{0};
+};
+
+/// One step of the checks that a submission passes before it is routed.
+/// Filters hold no state, so that one chain serves every HTTP thread.
+class request_filter
+{
+public:
+    virtual ~request_filter() = default;
+
+    /// Checks the request and adds what it found to the context. Returns the
+    /// refusal, or nothing if the request may go on.
+    virtual std::optional<api_reply> apply(request_context& context) const = 0;
+};
+
+/// The filters of a submission, in order.
+class filter_chain
+{
+public:
+    /// Returns the chain for submissions: parse, authenticate, limits,
+    /// deadline.
+    static filter_chain for_submissions();
+
+    /// Runs the filters up to the first refusal.
+    std::optional<api_reply> apply(request_context& context) const;
+
+private:
+    std::vector<std::unique_ptr<request_filter>> filters;
+};
+
+/// Returns the refusal if the token does not belong to the team.
+[[nodiscard]] std::optional<api_reply> authenticate(const document& config,
+                                                    const std::string& team,
+                                                    const std::string& token);
+
+/// Returns the team that the token belongs to, or nothing.
+[[nodiscard]] std::optional<std::string> team_of(const document& config,
+                                                 const std::string& token);
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libruntime/backend_client.cpp
@@ -0,0 +1,189 @@
+#include "backend_client.hpp"
+
+#include <optional>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+std::string connection_key(const std::string& address, int port)
+{
+    return address + ":" + std::to_string(port);
+}
+
+std::string to_body(const task_request& request)
+{
+    return json{{"task", request.task},
+                {"kind", request.kind},
+                {"payload", request.payload},
+                {"memory_mb", request.memory_mb},
+                {"run_ms", request.run_time.count()},
+                {"lease_ms", request.timeout.count()}}
+        .dump();
+}
+
+bool before_first_byte(httplib::Error error)
+{
+    return error == httplib::Error::Connection ||
+           error == httplib::Error::ConnectionTimeout ||
+           error == httplib::Error::BindIPAddress;
+}
+
+task_reply failure(send_status status, std::string error)
+{
+    task_reply reply;
+    reply.status = status;
+    reply.error = std::move(error);
+    return reply;
+}
+
+/// Returns whether the whole body arrived. cpp-httplib reports a connection
+/// closed inside a body of known length as an error, but a body without a
+/// length ends silently when the connection closes.
+bool is_whole(const httplib::Response& response)
+{
+    return response.has_header("Content-Length") ||
+           response.get_header_value("Transfer-Encoding") == "chunked";
+}
+
+task_reply read_answer(const task_request& request,
+                       const httplib::Response& response)
+{
+    const json body = json::parse(response.body, nullptr, false);
+    if (!is_whole(response) || !body.is_object() ||
+        body.value("task", json()) != json(request.task) ||
+        !body.contains("result") || !body["result"].is_string())
+    {
+        return failure(send_status::unknown, "reply is incomplete");
+    }
+    task_reply reply;
+    reply.status = send_status::answered;
+    reply.result = body["result"].get<std::string>();
+    const json run_ms = body.value("run_ms", json(0.0));
+    if (run_ms.is_number())
+    {
+        reply.run_time =
+            microseconds(static_cast<std::int64_t>(run_ms.get<double>() * 1e3));
+    }
+    return reply;
+}
+
+task_reply read_response(const task_request& request,
+                         const httplib::Response& response)
+{
+    if (response.status == 200)
+    {
+        return read_answer(request, response);
+    }
+    const bool draining = response.status == 503 &&
+                          response.body.find("draining") != std::string::npos;
+    const std::string text = "HTTP status " + std::to_string(response.status);
+    const bool not_started = response.get_header_value("Task-Started") == "no";
+    task_reply reply = failure(
+        not_started ? send_status::not_started : send_status::task_failed,
+        text);
+    reply.draining = draining;
+    return reply;
+}
+
+} // namespace
+
+backend_client::backend_client(milliseconds timeout)
+    : connect_timeout(timeout)
+{
+}
+
+task_reply backend_client::send(const task_request& request)
+{
+    auto client = this->acquire(request.address, request.port);
+    client->set_read_timeout(request.timeout);
+    const auto result = client->Post("/v1/tasks", httplib::Headers{},
+                                     to_body(request), "application/json");
+    if (!result)
+    {
+        const bool not_started = before_first_byte(result.error());
+        return failure(not_started ? send_status::not_started
+                                   : send_status::unknown,
+                       httplib::to_string(result.error()));
+    }
+    task_reply reply = read_response(request, *result);
+    const bool closes = result->get_header_value("Connection") == "close";
+    if (reply.status != send_status::unknown && !closes)
+    {
+        this->release(request.address, request.port, std::move(client));
+    }
+    return reply;
+}
+
+void backend_client::stop(const std::string& address, int port,
+                          const std::string& task)
+{
+    auto client = this->acquire(address, port);
+    client->set_read_timeout(this->connect_timeout);
+    if (client->Delete("/v1/tasks/" + task))
+    {
+        this->release(address, port, std::move(client));
+    }
+}
+
+void backend_client::close_idle()
+{
+    std::vector<idle_connection> expired;
+    const auto limit = clock::now() - max_idle;
+    const std::lock_guard lock(this->mutex);
+    for (auto& [key, connections] : this->idle)
+    {
+        // The newest connection is last, so expired ones are a prefix.
+        std::size_t keep = 0;
+        while (keep < connections.size() && connections[keep].since < limit)
+        {
+            expired.push_back(std::move(connections[keep]));
+            ++keep;
+        }
+        connections.erase(connections.begin(),
+                          connections.begin() +
+                              static_cast<std::ptrdiff_t>(keep));
+    }
+}
+
+std::unique_ptr<httplib::Client>
+backend_client::acquire(const std::string& address, int port)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        auto& connections = this->idle[connection_key(address, port)];
+        if (!connections.empty())
+        {
+            idle_connection newest = std::move(connections.back());
+            connections.pop_back();
+            if (clock::now() - newest.since < max_idle)
+            {
+                return std::move(newest.client);
+            }
+        }
+    }
+    auto client = std::make_unique<httplib::Client>(address, port);
+    client->set_tcp_nodelay(true);
+    client->set_keep_alive(true);
+    client->set_follow_location(false);
+    client->set_connection_timeout(this->connect_timeout);
+    client->set_write_timeout(this->connect_timeout);
+    return client;
+}
+
+void backend_client::release(const std::string& address, int port,
+                             std::unique_ptr<httplib::Client> client)
+{
+    const std::lock_guard lock(this->mutex);
+    this->idle[connection_key(address, port)].push_back(
+        {std::move(client), clock::now()});
+}
+
+} // namespace jujubedrum
