--- /dev/null
+++ b/src/libjujubedrum/jobs/claim_record.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/time.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// One id in a claim record.
+class claimed_id
+{
+public:
+    std::string id;
+    /// SHA-256 of the submission, in hex.
+    std::string digest;
+    /// When the caller created the job. It lets readers forget the claim.
+    wall_time created_at{};
+
+    bool operator==(const claimed_id&) const = default;
+};
+
+/// A record on a claim stream:
+/// `{"by","incarnation","nonce","ids":[[id,digest,created_at_ms]...]}`.
+class claim_record
+{
+public:
+    /// Largest number of ids in one record.
+    static constexpr std::size_t max_ids = 512;
+
+    /// Parses a record; returns nothing if it is malformed.
+    static std::optional<claim_record> parse(std::string_view json);
+
+    /// Returns the record as JSON.
+    [[nodiscard]] std::string to_json() const;
+
+    std::string by;
+    std::uint64_t incarnation = 0;
+    std::uint64_t nonce = 0;
+    std::vector<claimed_id> ids;
+
+    bool operator==(const claim_record&) const = default;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libjujubedrum/jobs/id_issuer.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "base/time.hpp"
+#include "jobs/id_block.hpp"
+#include "jobs/issued_id.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <string>
+
+namespace jujubedrum
+{
+
+/// Issues the ids of one process and tells which of them may still start.
+/// Whether an id was used is known to the job table, which keeps each id at
+/// least as long as the issuer accepts it (answer lifetime >= id lifetime).
+class id_issuer
+{
+public:
+    /// Largest number of ids in one block.
+    static constexpr std::uint64_t max_block = 4096;
+
+    id_issuer(std::string instance, std::uint64_t incarnation,
+              microseconds lifetime);
+
+    /// Issues 1 to `max_block` ids; a count outside is brought inside.
+    id_block issue(std::uint64_t count, instant now);
+    /// Returns whether this process issues ids of that instance and
+    /// incarnation. Says nothing about the sequence.
+    [[nodiscard]] bool owns(const issued_id& id) const;
+    /// Returns whether the id was issued here and has not expired.
+    [[nodiscard]] bool usable(const issued_id& id, instant now);
+    /// Returns whether the id was issued here, expired or not.
+    [[nodiscard]] bool was_issued(const issued_id& id) const;
+    /// Returns the highest expired sequence; 0 if none.
+    [[nodiscard]] std::uint64_t floor(instant now);
+    /// Returns the number of ranges held, bounded by the lifetime in seconds.
+    [[nodiscard]] std::size_t ranges() const { return this->issued.size(); }
+
+private:
+    struct range
+    {
+        std::uint64_t last;
+        instant first_issued;
+    };
+
+    void expire(instant now);
+
+    std::string instance;
+    std::uint64_t incarnation;
+    microseconds lifetime;
+    std::uint64_t last_sequence = 0;
+    std::uint64_t expired_through = 0;
+    std::deque<range> issued;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libjujubedrum/jobs/submission_limits.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "base/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace jujubedrum
+{
+
+/// Largest and smallest values a submission may carry.
+class submission_limits
+{
+public:
+    std::size_t max_tasks = 690;
+    std::size_t max_payload_bytes = 64UL * 1024;
+    std::size_t max_body_bytes = 8UL * 1024 * 1024;
+    /// Largest number of nested JSON arrays and objects in a body.
+    std::size_t max_depth = 64;
+    milliseconds min_run_time{1};
+    milliseconds max_run_time{60'000};
+    /// Memory of the largest backend server, in megabytes.
+    std::uint32_t max_memory_mb = 64 * 1024;
+    milliseconds max_deadline{600'000};
+    milliseconds max_wait{60'000};
+
+    bool operator==(const submission_limits&) const = default;
+};
+
+/// What a team's configuration says about a kind of task.
+class kind_default
+{
+public:
+    std::optional<bool> repeatable;
+    std::optional<milliseconds> run_time;
+    std::optional<std::uint32_t> memory_mb;
+
+    bool operator==(const kind_default&) const = default;
+};
+
+/// Looks up a kind of a team; returns an empty default for an unknown one.
+using kind_defaults = std::function<kind_default(const std::string& team,
+                                                 const std::string& kind)>;
+
+} // namespace jujubedrum
