Implement submissions, issued ids, outcomes and the job table

Issued ids of one second share a range that keeps its first issue time, so an id expires up to a second early. Keeping the last time was ruled out: the job table could forget an id that is still usable, and the id would start twice.

Evicted answers leave a 64-bit hash of the id instead of an entry. A collision answers a new id as ended, which starts nothing.

--- a/src/libjujubedrum/jobs/job_table.hpp
+++ b/src/libjujubedrum/jobs/job_table.hpp
@@ -7,7 +7,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -88,7 +87,6 @@
         job_record record;
         std::size_t bytes = 0;
         instant finished_at{};
-        std::list<std::string>::iterator place;
     };
     struct id_hash
     {
@@ -100,6 +98,7 @@
     };
     struct generation
     {
+        instant oldest{};
         instant newest{};
         std::unordered_set<std::uint64_t> ids;
     };
@@ -111,7 +110,8 @@
 
     job_table_limits limits;
     std::unordered_map<std::string, entry, id_hash, std::equal_to<>> jobs;
-    std::list<std::string> finished;
+    /// Ids of finished jobs, the oldest first.
+    std::deque<std::string> finished;
     std::deque<generation> generations;
     std::size_t running_count = 0;
     std::size_t byte_count = 0;
--- /dev/null
+++ b/src/libjujubedrum/jobs/submission_parser.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "jobs/json_text.hpp"
+#include "jobs/submission.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// Parses one job body. Not reused after a parse.
+class submission_parser
+{
+public:
+    /// Both references must outlive the parser.
+    submission_parser(const submission_limits& limits,
+                      const kind_defaults& defaults);
+
+    /// Returns the submission, or nothing and the first error found.
+    std::optional<submission> parse(std::string_view text, job_reason& why);
+
+private:
+    using json = nlohmann::json;
+
+    bool fail(job_error code, std::string where, std::string text);
+    bool check_keys(const json& object, const std::string& where,
+                    const std::vector<std::string_view>& keys);
+    bool read_job(const json& body);
+    bool read_id(const json& body);
+    bool read_team(const json& body);
+    bool read_times(const json& body);
+    bool read_tasks(const json& body);
+    bool read_task(const json& task, const std::string& where);
+    bool read_kind(const json& task, const std::string& where,
+                   std::string& kind);
+    bool read_payload(const json& task, const std::string& where,
+                      std::string& payload);
+    bool read_stated(const json& task, const std::string& where,
+                     kind_default& stated);
+    /// Reads an optional integer; leaves `value` empty if it is absent.
+    bool read_integer(const json& object, const std::string& where,
+                      const char* key, std::int64_t low, std::int64_t high,
+                      std::optional<std::int64_t>& value);
+
+    const submission_limits& limits;
+    const kind_defaults& defaults;
+    submission result;
+    job_reason error;
+};
+
+} // namespace jujubedrum
