Implement the claim ledger

An id is won only when the own record is applied and no claim of the id was applied before it. Due claims are withdrawn before a reply is applied, so that a process that was frozen past the timeout cannot win by reading a stream whose earlier records were trimmed meanwhile; the window is checked again at that point.

A reply that starts after the position, or that has a hole, is dropped and counted, because winning across a hole would skip a claim. Wall time only moves forward inside a ledger: a clock set back must not reopen the window for ids whose claims were forgotten. When more claims are remembered than allowed, the oldest are forgotten and ids created up to them are refused as too old.

An own record with an unexpected nonce (an append reported as not written, but present) withdraws the id instead of winning it.

--- a/src/libjujubedrum/jobs/claim_ledger.hpp
+++ b/src/libjujubedrum/jobs/claim_ledger.hpp
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -36,7 +37,7 @@
     std::size_t max_pending = 4096;
     /// Claims remembered at most; beyond, the oldest ids become unverifiable.
     std::size_t max_known = 200'000;
-    /// Appends without a reply at most.
+    /// Appended records not yet read back, at most.
     std::size_t max_outstanding = 4;
 };
 
@@ -99,8 +100,9 @@
     /// Returns the record to append now, if any. The record must be given to
     /// the log at most once.
     std::optional<claim_append> next_append(instant now);
-    /// Notes that the append took effect at an offset.
-    void on_append_reply(std::uint64_t nonce, std::uint64_t offset);
+    /// Notes that the append took effect. Ends the back-off after failures; the
+    /// ids are decided by reading alone.
+    void on_append_reply(std::uint64_t nonce);
     /// Notes a failed append.
     /// \param not_written true only if the record certainly is not on the
     /// log: its ids are then appended again until their timeout. Otherwise
@@ -111,8 +113,9 @@
     /// Feeds a reply to a read.
     /// \param from offset the read asked for.
     /// \param first_retained lowest offset still on the log.
-    /// \param next offset after the last record of the reply.
-    /// \param at_end whether the reply reached the end of the stream.
+    /// \param records in offset order, without holes.
+    /// \param at_end whether the reply reached the end of the stream, as one
+    /// with fewer records than asked for does.
     void on_records(std::uint64_t from, std::uint64_t first_retained,
                     const std::vector<log_record>& records, bool at_end,
                     instant now, wall_time wall);
@@ -154,21 +157,32 @@
     {
         std::string digest;
         wall_time created_at{};
-        instant since{};
         /// Nonce of the append that carries the id; 0 while it waits.
         std::uint64_t nonce = 0;
     };
 
+    struct batch
+    {
+        std::vector<std::string> ids;
+        instant sent{};
+    };
+
     [[nodiscard]] bool verifiable(wall_time created_at) const;
+    /// Returns whether the id has a verdict already, and emits it again.
+    bool answer_known(const std::string& id);
+    [[nodiscard]] microseconds append_interval() const;
+    std::vector<claimed_id> next_batch(std::uint64_t nonce);
     void advance(wall_time wall);
     void forget_old();
     void forget_oldest();
-    void remember(const claimed_id& claimed, const claim_record& record);
     void apply(const log_record& record);
+    void apply(const claimed_id& claimed, const claim_record& record);
+    void remember(const claimed_id& claimed, const claim_record& record);
     void decide(const claimed_id& claimed, const claim_record& record);
     void withdraw(const std::string& id, wall_time created_at);
     void withdraw_due(instant now);
     void emit_lost(const std::string& id, const holder& first);
+    void emit_withdrawn(const std::string& id);
 
     std::string instance;
     std::uint64_t incarnation;
@@ -177,6 +191,7 @@
     std::uint64_t next_offset = 0;
     bool read_to_end = false;
     std::optional<instant> last_append;
+    unsigned append_failures = 0;
     /// Latest wall time seen: a clock set back must not reopen the window.
     wall_time latest_wall{};
     /// Ids created at or before this time can no longer be verified.
@@ -185,9 +200,12 @@
     std::set<std::pair<wall_time, std::string>> claims_by_age;
     std::unordered_map<std::string, pending_claim> pending_claims;
     std::deque<std::string> waiting;
-    std::map<std::uint64_t, std::vector<std::string>> outstanding;
+    /// When each id was claimed, the oldest first. An id is claimed once: it
+    /// is decided or withdrawn afterwards.
+    std::deque<std::pair<instant, std::string>> due;
+    std::map<std::uint64_t, batch> outstanding;
     std::set<std::pair<wall_time, std::string>> withdrawn_by_age;
-    std::unordered_map<std::string, wall_time> withdrawn;
+    std::unordered_set<std::string> withdrawn;
     std::vector<claim_verdict> verdicts;
     std::uint64_t malformed_count = 0;
     std::uint64_t gap_count = 0;
--- a/src/libjujubedrum/jobs/claim_record.hpp
+++ b/src/libjujubedrum/jobs/claim_record.hpp
@@ -31,6 +31,8 @@
 public:
     /// Largest number of ids in one record.
     static constexpr std::size_t max_ids = 512;
+    /// Latest creation time in a record: the end of the year 9999.
+    static constexpr std::uint64_t max_created_at_ms = 253'402'300'799'999;
 
     /// Parses a record; returns nothing if it is malformed.
     static std::optional<claim_record> parse(std::string_view json);
