Implement team quotas, admission and the retry budget

Shares of the cap of tasks in flight are rounded on the running sum in the order of names, so that they add up to the quota on all instances. At least one task for each instance was ruled out: nine instances would run nine tasks of a team whose quota is four.

Admission refuses nothing for memory while no backend server is known.

--- a/src/libjujubedrum/limits/admission.hpp
+++ b/src/libjujubedrum/limits/admission.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -25,7 +26,8 @@
 class capacity_view
 {
 public:
-    /// Memory of the largest backend server, in megabytes.
+    /// Memory of the largest backend server, in megabytes; 0 while no backend
+    /// server is known, which refuses nothing.
     std::uint32_t largest_memory_mb = 0;
     /// Speed of the fastest backend server over the reference; above 0.
     double fastest_speed = 1;
@@ -35,6 +37,9 @@
     bool operator==(const capacity_view&) const = default;
 };
 
+/// Returns the expected run time of a task at reference speed.
+using run_estimate = std::function<microseconds(const task_spec&)>;
+
 /// Decides early which jobs to refuse, and whose queue to shed first.
 class admission
 {
@@ -46,9 +51,11 @@
     void set_weight(const std::string& team, double weight);
     /// Decides about a job.
     /// \param deadline time left; empty: no deadline.
-    [[nodiscard]] admission_verdict check(const submission& job,
-                                          std::optional<milliseconds> deadline,
-                                          const capacity_view& capacity) const;
+    /// \param expected learned run times; empty: the declared ones.
+    [[nodiscard]] admission_verdict
+    check(const submission& job, std::optional<milliseconds> deadline,
+          const capacity_view& capacity,
+          const run_estimate& expected = {}) const;
     /// Counts the tasks of a job as queued.
     void on_queued(const std::string& team, std::size_t tasks,
                    microseconds run_time);
--- a/src/libjujubedrum/limits/retry_budget.hpp
+++ b/src/libjujubedrum/limits/retry_budget.hpp
@@ -37,7 +37,8 @@
     /// Spends the budget for one retry or hedge, or returns false.
     bool try_spend(instant now);
     /// Returns the delay before a retry, or nothing if the deadline would
-    /// pass before it. Doubles with each attempt; the jitter takes up to half.
+    /// pass before it. Random within [20 ms, 40 ms] at first; both ends
+    /// double with each attempt, up to [250 ms, 500 ms].
     /// \param attempt number of the retry, from 1.
     /// \param deadline empty: no deadline.
     [[nodiscard]] std::optional<microseconds>
--- a/src/libjujubedrum/limits/team_quota.hpp
+++ b/src/libjujubedrum/limits/team_quota.hpp
@@ -3,6 +3,7 @@
 #include "base/time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -61,12 +62,15 @@
     [[nodiscard]] std::uint64_t in_flight_cap() const { return this->cap; }
     /// Returns the tasks in flight.
     [[nodiscard]] std::uint64_t in_flight() const { return this->flying; }
-    /// Returns the time until a job of that many tasks could be admitted.
-    [[nodiscard]] microseconds wait_for(std::uint64_t tasks, instant now);
+    /// Returns the time until a job of that many tasks could be admitted;
+    /// empty if it never can.
+    [[nodiscard]] std::optional<microseconds> wait_for(std::uint64_t tasks,
+                                                       instant now);
 
 private:
     [[nodiscard]] double burst() const;
     void refill(instant now);
+    void divide();
 
     quota_limits limits;
     std::vector<weighted_instance> listed;
@@ -75,8 +79,7 @@
     std::uint64_t cap = 0;
     std::uint64_t flying = 0;
     double tokens = 0;
-    bool filled = false;
-    instant filled_at{};
+    std::optional<instant> filled_at;
 };
 
 } // namespace jujubedrum
