--- /dev/null
+++ b/src/libruntime/platform_error.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "base/reason.hpp"
+
+#include <string_view>
+
+namespace jujubedrum
+{
+
+/// Error codes of calls to the platform.
+enum class platform_error
+{
+    none,
+    unreachable, ///< no connection: the call had no effect
+    timeout,     ///< no whole reply: the call may have taken effect
+    refused,     ///< the platform answered an error: the call had no effect
+    malformed,   ///< unreadable reply: the call may have taken effect
+};
+
+/// Explains a failed call; `where()` is the method and path.
+using platform_reason = basic_reason<platform_error>;
+
+/// Returns the code as a word for logs and JSON output.
+[[nodiscard]] std::string_view to_string(platform_error code);
+
+} // namespace jujubedrum
