Add configuration sections, signed edits and their fold

Cause: operators own sections of one document and race each other; every instance must reach the same document from the log.

--- /dev/null
+++ b/src/libjujubedrum/config/config_fold.cpp
@@ -0,0 +1,418 @@
+#include "config/config_fold.hpp"
+
+#include "config/json_text.hpp"
+
+#include <algorithm>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr std::size_t max_recent_ids = 1024;
+constexpr std::size_t max_held = 20000;
+constexpr std::size_t max_snapshot_bytes = 16 * 1024 * 1024;
+// Leaves room for the additions of 1 that turn offsets into revisions.
+constexpr std::uint64_t max_offset = std::uint64_t(1) << 62U;
+
+bool owns(const std::string& editor, const section_name& section)
+{
+    return editor == "admin" ||
+           (!section.is_system() && editor == section.team());
+}
+
+bool read_unsigned(const json& object, const char* key, std::uint64_t& value)
+{
+    const auto at = object.find(key);
+    if (at == object.end() || !at->is_number_unsigned())
+    {
+        return false;
+    }
+    value = at->get<std::uint64_t>();
+    return true;
+}
+
+std::string record_type(std::string_view record, config_reason& why)
+{
+    const auto object = parse_json_object(record, why, max_snapshot_bytes);
+    if (!object)
+    {
+        return {};
+    }
+    const auto type = object->find("type");
+    if (type == object->end() || !type->is_string())
+    {
+        why = {config_error::malformed, "/type", "missing, or not a string"};
+        return {};
+    }
+    return type->get<std::string>();
+}
+
+// Returns the ids, or nothing if the member is no list of at most 1024 texts.
+std::optional<std::deque<std::string>> read_recent_ids(const json& snapshot)
+{
+    const auto at = snapshot.find("recent_edit_ids");
+    if (at == snapshot.end() || !at->is_array() || at->size() > max_recent_ids)
+    {
+        return std::nullopt;
+    }
+    std::deque<std::string> ids;
+    for (const json& id : *at)
+    {
+        if (!id.is_string())
+        {
+            return std::nullopt;
+        }
+        ids.push_back(id.get<std::string>());
+    }
+    return ids;
+}
+
+} // namespace
+
+std::string_view to_string(edit_verdict verdict)
+{
+    switch (verdict)
+    {
+    case edit_verdict::accepted:
+        return "accepted";
+    case edit_verdict::stale:
+        return "stale";
+    case edit_verdict::repeat:
+        return "repeat";
+    case edit_verdict::bad_signature:
+        return "bad_signature";
+    case edit_verdict::wrong_owner:
+        return "wrong_owner";
+    case edit_verdict::invalid:
+        return "invalid";
+    case edit_verdict::ignored:
+        return "ignored";
+    case edit_verdict::snapshot_applied:
+        return "snapshot_applied";
+    }
+    return "ignored";
+}
+
+config_fold::config_fold(std::string admin_public_key)
+    : admin_public_key(std::move(admin_public_key))
+{
+}
+
+void config_fold::begin(std::uint64_t first_retained)
+{
+    if (first_retained <= this->next_offset_value)
+    {
+        return;
+    }
+    this->waiting_value = true;
+    this->held.clear();
+    this->held_first = first_retained;
+    this->next_offset_value = first_retained;
+}
+
+edit_verdict config_fold::apply(std::uint64_t offset, std::string_view record)
+{
+    this->last_reason_value = {};
+    if (offset < this->next_offset_value)
+    {
+        this->last_reason_value = {config_error::ignored, "",
+                                   "behind the reader's position"};
+        return edit_verdict::ignored;
+    }
+    this->next_offset_value = offset + 1;
+    const std::string type = record_type(record, this->last_reason_value);
+    if (type == "snapshot")
+    {
+        return this->apply_snapshot(offset, record);
+    }
+    if (type != "edit")
+    {
+        return type.empty() ? edit_verdict::invalid : edit_verdict::ignored;
+    }
+    if (!this->waiting_value)
+    {
+        return this->apply_edit(offset, record);
+    }
+    this->held.emplace_back(offset, std::string(record));
+    if (this->held.size() > max_held)
+    {
+        this->held_first = this->held.front().first + 1;
+        this->held.pop_front();
+    }
+    this->last_reason_value = {config_error::ignored, "",
+                               "held back until a snapshot arrives"};
+    return edit_verdict::ignored;
+}
+
+edit_verdict config_fold::adopt_snapshot(std::string_view record)
+{
+    this->last_reason_value = {};
+    auto restored = this->restore(record, this->last_reason_value);
+    if (!restored)
+    {
+        return edit_verdict::invalid;
+    }
+    if (!this->waiting_value && restored->through < this->next_offset_value)
+    {
+        return edit_verdict::ignored;
+    }
+    return this->adopt(std::move(*restored));
+}
+
+std::optional<edit_report> config_fold::report(const std::string& edit_id) const
+{
+    const auto at = this->reports.find(edit_id);
+    if (at != this->reports.end())
+    {
+        return at->second;
+    }
+    if (this->current.recent_id_set.contains(edit_id))
+    {
+        return edit_report{edit_verdict::accepted, 0, {}};
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> config_fold::make_snapshot() const
+{
+    if (this->waiting_value || this->next_offset_value == 0)
+    {
+        return std::nullopt;
+    }
+    // System edits that are out of force stay in the snapshot while an edit
+    // in force was signed with a key from them: the reader checks both.
+    std::map<std::uint64_t, const stored_edit*> needed;
+    for (const auto& [name, stored] : this->current.edits)
+    {
+        needed[stored->offset] = stored.get();
+        if (stored->authority)
+        {
+            needed[stored->authority->offset] = stored->authority.get();
+        }
+    }
+    nlohmann::ordered_json record;
+    record["type"] = "snapshot";
+    record["through"] = this->next_offset_value - 1;
+    record["edits"] = json::array();
+    for (const auto& [offset, stored] : needed)
+    {
+        nlohmann::ordered_json item;
+        item["offset"] = offset;
+        item["edit"] = nlohmann::ordered_json::parse(stored->edit.to_record());
+        record["edits"].push_back(std::move(item));
+    }
+    record["recent_edit_ids"] = this->current.recent_ids;
+    return record.dump();
+}
+
+edit_verdict config_fold::apply_edit(std::uint64_t offset,
+                                     std::string_view record)
+{
+    config_reason& why = this->last_reason_value;
+    const auto edit = config_edit::parse(record, why);
+    if (!edit)
+    {
+        return edit_verdict::invalid;
+    }
+    if (this->current.recent_id_set.contains(edit->edit_id()))
+    {
+        why = {config_error::repeat, "/edit_id", "accepted before"};
+        return edit_verdict::repeat;
+    }
+    const std::uint64_t revision =
+        this->current.document.section_revision(edit->section().text());
+    edit_verdict verdict = edit_verdict::stale;
+    if (edit->base() == revision)
+    {
+        verdict = this->commit(this->current, offset, *edit, why);
+    }
+    else
+    {
+        why = {config_error::stale, "/base",
+               "the section has revision " + std::to_string(revision) +
+                   ", the edit was made from " + std::to_string(edit->base())};
+    }
+    if (verdict == edit_verdict::accepted)
+    {
+        state& now = this->current;
+        now.recent_ids.push_back(edit->edit_id());
+        now.recent_id_set.insert(edit->edit_id());
+        if (now.recent_ids.size() > max_recent_ids)
+        {
+            now.recent_id_set.erase(now.recent_ids.front());
+            now.recent_ids.pop_front();
+        }
+    }
+    this->keep_report(edit->edit_id(), {verdict, offset, why});
+    return verdict;
+}
+
+edit_verdict config_fold::apply_snapshot(std::uint64_t offset,
+                                         std::string_view record)
+{
+    config_reason& why = this->last_reason_value;
+    auto restored = this->restore(record, why);
+    if (!restored)
+    {
+        return edit_verdict::invalid;
+    }
+    if (restored->through >= offset)
+    {
+        why = {config_error::malformed, "/through",
+               "not below the snapshot's own offset"};
+        return edit_verdict::invalid;
+    }
+    this->latest_snapshot_value = offset;
+    if (!this->waiting_value)
+    {
+        why = {config_error::ignored, "", "at or below the reader's position"};
+        return edit_verdict::ignored;
+    }
+    return this->adopt(std::move(*restored));
+}
+
+// Checks owner, signature and schema, and sets the section. The caller has
+// checked the base, which does not hold inside a snapshot.
+edit_verdict config_fold::commit(state& to, std::uint64_t offset,
+                                 const config_edit& edit,
+                                 config_reason& why) const
+{
+    if (!owns(edit.editor(), edit.section()))
+    {
+        why = {config_error::wrong_owner, "/editor",
+               "\"" + edit.editor() + "\" does not own section \"" +
+                   edit.section().text() + "\""};
+        return edit_verdict::wrong_owner;
+    }
+    const bool by_admin = edit.editor() == "admin";
+    const std::string key =
+        by_admin ? this->admin_public_key
+                 : to.document.system().find_team_key(edit.editor());
+    if (key.empty() || !edit.verify(key))
+    {
+        why = {config_error::bad_signature, "/signature",
+               key.empty()
+                   ? "team_keys holds no key of \"" + edit.editor() + "\""
+                   : "not made with the key of \"" + edit.editor() + "\""};
+        return edit_verdict::bad_signature;
+    }
+    auto next =
+        to.document.with_section(edit.section(), edit.body(), offset + 1, why);
+    if (!next)
+    {
+        return edit_verdict::invalid;
+    }
+    to.document = std::move(*next);
+    const auto system = to.edits.find("system");
+    auto stored = std::make_shared<stored_edit>(stored_edit{
+        offset, edit,
+        by_admin || system == to.edits.end() ? nullptr : system->second});
+    to.edits[edit.section().text()] = std::move(stored);
+    return edit_verdict::accepted;
+}
+
+std::optional<config_fold::state> config_fold::restore(std::string_view record,
+                                                       config_reason& why) const
+{
+    const auto snapshot = parse_json_object(record, why, max_snapshot_bytes);
+    if (!snapshot)
+    {
+        return std::nullopt;
+    }
+    state restored;
+    const auto edits = snapshot->find("edits");
+    auto ids = read_recent_ids(*snapshot);
+    if (!ids || edits == snapshot->end() || !edits->is_array() ||
+        snapshot->value("type", json()) != "snapshot" ||
+        !read_unsigned(*snapshot, "through", restored.through) ||
+        restored.through > max_offset)
+    {
+        why = {config_error::malformed, "", "not a snapshot"};
+        return std::nullopt;
+    }
+    std::uint64_t least = 0;
+    for (const json& item : *edits)
+    {
+        std::uint64_t offset = 0;
+        if (!item.is_object() || !item.contains("edit") ||
+            !read_unsigned(item, "offset", offset) || offset < least ||
+            offset > restored.through)
+        {
+            why = {config_error::malformed, "/edits",
+                   "an edit is incomplete or out of order"};
+            return std::nullopt;
+        }
+        least = offset + 1;
+        const auto edit = config_edit::parse(item["edit"].dump(), why);
+        if (!edit || this->commit(restored, offset, *edit, why) !=
+                         edit_verdict::accepted)
+        {
+            return std::nullopt;
+        }
+    }
+    restored.recent_id_set.insert(ids->begin(), ids->end());
+    if (restored.recent_id_set.size() != ids->size())
+    {
+        why = {config_error::malformed, "/recent_edit_ids", "repeats an id"};
+        return std::nullopt;
+    }
+    restored.recent_ids = std::move(*ids);
+    return restored;
+}
+
+edit_verdict config_fold::adopt(state restored)
+{
+    if (this->waiting_value && restored.through + 1 < this->held_first)
+    {
+        this->last_reason_value = {config_error::ignored, "/through",
+                                   "records after it are no longer retained"};
+        return edit_verdict::ignored;
+    }
+    if (restored.document.revision() < this->current.document.revision())
+    {
+        this->last_reason_value = {config_error::stale, "/edits",
+                                   "older than the document in force"};
+        return edit_verdict::ignored;
+    }
+    const std::uint64_t through = restored.through;
+    this->current = std::move(restored);
+    this->waiting_value = false;
+    this->next_offset_value = std::max(this->next_offset_value, through + 1);
+    const auto edits = std::exchange(this->held, {});
+    for (const auto& [offset, record] : edits)
+    {
+        if (offset > through)
+        {
+            this->apply_edit(offset, record);
+        }
+    }
+    this->last_reason_value = {};
+    return edit_verdict::snapshot_applied;
+}
+
+void config_fold::keep_report(const std::string& edit_id,
+                              const edit_report& report)
+{
+    const auto at = this->reports.find(edit_id);
+    if (at != this->reports.end())
+    {
+        if (at->second.verdict != edit_verdict::accepted)
+        {
+            at->second = report;
+        }
+        return;
+    }
+    this->reports.emplace(edit_id, report);
+    this->report_order.push_back(edit_id);
+    if (this->report_order.size() > max_recent_ids)
+    {
+        this->reports.erase(this->report_order.front());
+        this->report_order.pop_front();
+    }
+}
+
+} // namespace jujubedrum
--- a/src/libjujubedrum/config/config_fold.hpp
+++ b/src/libjujubedrum/config/config_fold.hpp
@@ -61,17 +61,18 @@
     edit_verdict apply(std::uint64_t offset, std::string_view record);
 
     /// Adopts a snapshot received from a peer, if it is ahead of this reader.
+    /// Reading goes on at `next_offset()`.
     edit_verdict adopt_snapshot(std::string_view record);
 
     /// Returns the document in force.
     [[nodiscard]] const class document& document() const
     {
-        return this->document_value;
+        return this->current.document;
     }
     /// Returns the highest accepted offset + 1.
     [[nodiscard]] std::uint64_t revision() const
     {
-        return this->document_value.revision();
+        return this->current.document.revision();
     }
     /// Returns the offset of the first record not yet applied or held back.
     [[nodiscard]] std::uint64_t next_offset() const
@@ -85,8 +86,8 @@
     {
         return this->latest_snapshot_value;
     }
-    /// Returns the first verdict on the edit that was no repeat, for the last
-    /// 1024 edit ids; nothing if the id is unknown.
+    /// Returns the verdict on the edit, for the last 1024 edit ids; nothing if
+    /// the id is unknown. An accepted edit stays accepted when it is repeated.
     [[nodiscard]] std::optional<edit_report>
     report(const std::string& edit_id) const;
     /// Returns the reason of the latest verdict.
@@ -115,28 +116,26 @@
         std::map<std::string, stored_edit_ptr> edits;
         std::deque<std::string> recent_ids;
         std::set<std::string> recent_id_set;
+        // Offset of the last record folded; set by restore() only.
+        std::uint64_t through = 0;
     };
 
     edit_verdict apply_edit(std::uint64_t offset, std::string_view record);
     edit_verdict apply_snapshot(std::uint64_t offset, std::string_view record);
-    edit_verdict judge(const state& from, const config_edit& edit,
-                       config_reason& why) const;
-    void remember(state& to, const std::string& edit_id) const;
-    void keep_report(const std::string& edit_id, edit_report report);
-    void adopt(state restored, std::uint64_t through);
-    void hold_back(std::uint64_t offset, std::string_view record);
-    std::optional<std::pair<state, std::uint64_t>>
-    restore(std::string_view record, config_reason& why) const;
+    edit_verdict commit(state& to, std::uint64_t offset,
+                        const config_edit& edit, config_reason& why) const;
+    std::optional<state> restore(std::string_view record,
+                                 config_reason& why) const;
+    edit_verdict adopt(state restored);
+    void keep_report(const std::string& edit_id, const edit_report& report);
 
     std::string admin_public_key;
-    class document document_value;
-    std::map<std::string, stored_edit_ptr> edits;
-    std::deque<std::string> recent_ids;
-    std::set<std::string> recent_id_set;
+    state current;
     std::uint64_t next_offset_value = 0;
     bool waiting_value = false;
-    std::uint64_t held_first = 0;
+    // Edits read while waiting; complete from offset held_first on.
     std::deque<std::pair<std::uint64_t, std::string>> held;
+    std::uint64_t held_first = 0;
     std::optional<std::uint64_t> latest_snapshot_value;
     std::map<std::string, edit_report> reports;
     std::deque<std::string> report_order;
--- /dev/null
+++ b/src/libjujubedrum/config/json_fields.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+namespace jujubedrum
+{
+
+/// Sets the value from the member if it is present. The object must have
+/// passed a schema that checks the member's type and bounds.
+template <typename T>
+void read_field(const nlohmann::json& object, const char* key, T& value)
+{
+    const auto at = object.find(key);
+    if (at != object.end())
+    {
+        value = at->get<T>();
+    }
+}
+
+/// Sets the value from the member, in milliseconds, if it is present.
+inline void read_field(const nlohmann::json& object, const char* key,
+                       std::chrono::milliseconds& value)
+{
+    const auto at = object.find(key);
+    if (at != object.end())
+    {
+        value = std::chrono::milliseconds(at->get<long>());
+    }
+}
+
+/// Returns the member, or an empty object.
+[[nodiscard]] inline nlohmann::json child(const nlohmann::json& object,
+                                          const char* key)
+{
+    return object.value(key, nlohmann::json::object());
+}
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libjujubedrum/config/json_schema.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "config/config_error.hpp"
+
+#include <memory>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+namespace valijson
+{
+class Schema;
+} // namespace valijson
+
+namespace jujubedrum
+{
+
+/// Compiled JSON Schema. Its checks may run on several threads at once.
+class json_schema
+{
+public:
+    /// \param text a valid JSON Schema; a constant of the program.
+    explicit json_schema(std::string_view text);
+    ~json_schema();
+    json_schema(const json_schema&) = delete;
+    json_schema& operator=(const json_schema&) = delete;
+
+    /// Returns whether the value, free of comments, fits the schema.
+    /// \param why set to the first fault, `where()` being its JSON pointer.
+    [[nodiscard]] bool check(const nlohmann::json& value,
+                             config_reason& why) const;
+
+private:
+    nlohmann::json source;
+    std::unique_ptr<valijson::Schema> compiled;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libjujubedrum/config/json_text.cpp
@@ -0,0 +1,205 @@
+#include "config/json_text.hpp"
+
+#include <set>
+#include <vector>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr int max_depth = 16;
+
+// Watches the parser's events for nesting and duplicate keys.
+class key_watch
+{
+public:
+    bool operator()(int depth, json::parse_event_t event, json& parsed)
+    {
+        if (depth > max_depth)
+        {
+            this->fail(config_error::malformed, "nested deeper than 16 levels");
+            return false;
+        }
+        switch (event)
+        {
+        case json::parse_event_t::object_start:
+            this->keys.emplace_back();
+            break;
+        case json::parse_event_t::object_end:
+            this->keys.pop_back();
+            break;
+        case json::parse_event_t::key:
+            this->note_key(parsed.get_ref<const std::string&>());
+            break;
+        default:
+            break;
+        }
+        return true;
+    }
+
+    [[nodiscard]] bool failed() const
+    {
+        return this->reason.code() != config_error::none;
+    }
+
+    config_reason reason;
+
+private:
+    void note_key(const std::string& key)
+    {
+        if (!this->keys.back().insert(key).second && key != "//")
+        {
+            this->fail(config_error::duplicate_key,
+                       "key \"" + key + "\" is named twice in one object");
+        }
+    }
+
+    void fail(config_error code, const std::string& text)
+    {
+        if (!this->failed())
+        {
+            this->reason = {code, "", text};
+        }
+    }
+
+    std::vector<std::set<std::string>> keys;
+};
+
+std::size_t skip_space(std::string_view text, std::size_t at)
+{
+    const std::size_t next = text.find_first_not_of(" \t\r\n", at);
+    return next == std::string_view::npos ? text.size() : next;
+}
+
+// Returns the position after the string that starts at a quotation mark.
+std::size_t skip_string(std::string_view text, std::size_t at)
+{
+    for (++at; at < text.size() && text[at] != '"'; ++at)
+    {
+        at += text[at] == '\\' ? 1 : 0;
+    }
+    return at + 1;
+}
+
+std::size_t skip_value(std::string_view text, std::size_t at)
+{
+    int depth = 0;
+    while (at < text.size())
+    {
+        const char c = text[at];
+        if (c == '"')
+        {
+            at = skip_string(text, at);
+            continue;
+        }
+        if (depth == 0 && (c == ',' || c == '}' || c == ']'))
+        {
+            return at;
+        }
+        depth += c == '{' || c == '[' ? 1 : 0;
+        depth -= c == '}' || c == ']' ? 1 : 0;
+        ++at;
+    }
+    return at;
+}
+
+std::string_view trim_end(std::string_view text)
+{
+    const std::size_t last = text.find_last_not_of(" \t\r\n");
+    return last == std::string_view::npos ? std::string_view()
+                                          : text.substr(0, last + 1);
+}
+
+} // namespace
+
+std::optional<nlohmann::json> parse_json_object(std::string_view text,
+                                                config_reason& why,
+                                                std::size_t max_bytes)
+{
+    if (text.size() > max_bytes)
+    {
+        why = {config_error::malformed, "",
+               "longer than " + std::to_string(max_bytes) + " bytes"};
+        return std::nullopt;
+    }
+    key_watch watch;
+    json value;
+    try
+    {
+        value = json::parse(text, std::ref(watch));
+    }
+    catch (const json::exception& error)
+    {
+        why = {config_error::malformed, "", error.what()};
+        return std::nullopt;
+    }
+    if (watch.failed())
+    {
+        why = watch.reason;
+        return std::nullopt;
+    }
+    if (!value.is_object())
+    {
+        why = {config_error::malformed, "", "not a JSON object"};
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::map<std::string, std::string> member_texts(std::string_view text)
+{
+    std::map<std::string, std::string> members;
+    std::size_t at = skip_space(text, 0) + 1;
+    while ((at = skip_space(text, at)) < text.size() && text[at] == '"')
+    {
+        const std::size_t key_end = skip_string(text, at);
+        if (key_end > text.size())
+        {
+            break;
+        }
+        const json key =
+            json::parse(text.substr(at, key_end - at), nullptr, false);
+        const std::size_t colon = skip_space(text, key_end);
+        const std::size_t start = skip_space(text, colon + 1);
+        const std::size_t end = skip_value(text, start);
+        if (!key.is_string() || end > text.size() || start > end)
+        {
+            break;
+        }
+        members[key.get<std::string>()] =
+            std::string(trim_end(text.substr(start, end - start)));
+        at = skip_space(text, end) + 1;
+    }
+    return members;
+}
+
+void remove_comments(nlohmann::json& value)
+{
+    if (value.is_object())
+    {
+        value.erase("//");
+    }
+    if (value.is_structured())
+    {
+        for (json& item : value)
+        {
+            remove_comments(item);
+        }
+    }
+}
+
+std::string pointer_to(const std::string& pointer, const std::string& key)
+{
+    std::string escaped;
+    for (const char c : key)
+    {
+        escaped += c == '~' ? "~0" : c == '/' ? "~1" : std::string(1, c);
+    }
+    return pointer + "/" + escaped;
+}
+
+} // namespace jujubedrum
