--- /dev/null
+++ b/src/libjujubedrum/placement/placement_policy.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "base/random_source.hpp"
+#include "base/time.hpp"
+#include "placement/placement_reason.hpp"
+#include "placement/server_stats.hpp"
+#include "placement/slot_choice.hpp"
+#include "placement/slot_pool.hpp"
+#include "placement/task_demand.hpp"
+
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// What the dispatcher minimises.
+enum class placement_objective
+{
+    response_time,
+    messages,
+};
+
+/// What a policy decides from. The referenced objects outlive the policy.
+struct placement_context
+{
+    slot_pool& pool;
+    server_stats& stats;
+    random_source& random;
+};
+
+/// Chooses a backend server for each task.
+class placement_policy
+{
+public:
+    explicit placement_policy(const placement_context& context);
+    virtual ~placement_policy() = default;
+    placement_policy(const placement_policy&) = delete;
+    placement_policy& operator=(const placement_policy&) = delete;
+
+    /// Returns the name by which `make_policy` creates the policy.
+    [[nodiscard]] virtual std::string_view name() const = 0;
+    /// Returns the server to start the task on now, or nothing if the task has
+    /// to wait. Changes no account: call `started` once the task is sent.
+    /// \param exclude server that must not be chosen; may be empty.
+    virtual std::optional<slot_choice>
+    pick(const task_demand& demand, std::string_view exclude, instant now) = 0;
+    /// Returns whether tasks may start on owned or borrowed slots only, so
+    /// that free slots are exact and a grant can help a waiting task.
+    [[nodiscard]] virtual bool uses_owned_slots() const { return false; }
+
+    /// Accounts for a task that was sent.
+    void started(const slot_choice& choice, instant now);
+    /// Accounts for a task that ended in any way.
+    void finished(const slot_choice& choice, instant now);
+
+protected:
+    /// Returns the admission of a server for a task, `ejected` if the server
+    /// is excluded, unusable or too small.
+    [[nodiscard]] admission_state admission(const pooled_server& server,
+                                            const task_demand& demand,
+                                            std::string_view exclude,
+                                            instant now) const;
+    /// Returns the choice of a server.
+    [[nodiscard]] slot_choice choose(const pooled_server& server,
+                                     const task_demand& demand,
+                                     bool probe) const;
+    /// Returns every server that may be given the task, owned or not.
+    [[nodiscard]] std::vector<const pooled_server*>
+    candidates(const task_demand& demand, std::string_view exclude,
+               instant now) const;
+
+    slot_pool& pool;
+    server_stats& stats;
+    random_source& random;
+};
+
+/// Creates a policy: owned_slots, round_robin, random_choice or two_choices.
+/// Returns null for another name.
+std::unique_ptr<placement_policy> make_policy(std::string_view name,
+                                              const placement_context& context,
+                                              placement_reason& why);
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libjujubedrum/placement/server_stats.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "base/time.hpp"
+#include "placement/backend_server.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// Whether a server may be given a task.
+enum class admission_state
+{
+    open,
+    /// Ejected, but due for a single probe with a repeatable task.
+    probe,
+    ejected,
+};
+
+/// Parameters of `server_stats`.
+struct server_stats_options
+{
+    /// Weight of one observation in the speed estimate of a server.
+    double speed_weight = 0.1;
+    /// Weight of one observation in the reference of a task kind.
+    double reference_weight = 0.02;
+    /// Weight of one outcome in the failure rate of a server.
+    double failure_weight = 0.2;
+    /// Failure rate above which a server is ejected.
+    double ejection_rate = 0.5;
+    /// Largest share of the servers of a domain that is ejected at once.
+    double ejection_limit = 0.3;
+    microseconds first_ejection = seconds(1);
+    microseconds longest_ejection = seconds(60);
+};
+
+/// Learned run times and failures of backend servers.
+class server_stats
+{
+public:
+    explicit server_stats(server_stats_options options = {});
+
+    /// Replaces the list of servers; known ones keep what was learned.
+    void set_servers(const std::vector<backend_server>& servers);
+
+    /// Records an answered task.
+    /// \param kind task kind.
+    /// \param declared declared run time of the task.
+    /// \param run_time observed run time.
+    void on_finished(std::string_view server, std::string_view kind,
+                     microseconds declared, microseconds run_time, instant now);
+    /// Records that a task still runs after a time longer than expected.
+    void on_overdue(std::string_view server, std::string_view kind,
+                    microseconds declared, microseconds elapsed);
+    /// Records a failed or refused task, and ejects the server if its recent
+    /// failures exceed the threshold.
+    void on_failed(std::string_view server, instant now);
+    /// Records that a probe was started; no second one starts until it ends.
+    void on_probe_started(std::string_view server);
+
+    /// Returns the expected run time of a task; unknown servers are assumed to
+    /// have average speed. Failures count as the slowest run time.
+    [[nodiscard]] microseconds expected_run_time(std::string_view server,
+                                                 std::string_view kind,
+                                                 microseconds declared) const;
+    /// Returns the run time that 99 % of such tasks stay below.
+    [[nodiscard]] microseconds run_time_bound(std::string_view server,
+                                              std::string_view kind,
+                                              microseconds declared) const;
+    /// Returns the run time relative to the reference: 2 is half as fast.
+    /// Failures count as the slowest run time.
+    [[nodiscard]] double slowness(std::string_view server) const;
+    /// Returns the learned run time of a kind at slowness 1.
+    [[nodiscard]] microseconds reference(std::string_view kind,
+                                         microseconds declared) const;
+    /// Returns whether the server may be given a task.
+    [[nodiscard]] admission_state admission(std::string_view server,
+                                            instant now) const;
+    /// Returns the number of ejected servers of a domain.
+    [[nodiscard]] std::size_t ejected(std::string_view domain) const;
+    /// Counts changes that affect `slowness`, so that callers can cache it.
+    [[nodiscard]] std::size_t revision() const { return this->changes; }
+
+private:
+    struct server_record
+    {
+        std::string domain;
+        double log_slowness = 0.0;
+        std::size_t observations = 0;
+        double failure_rate = 0.0;
+        std::size_t recent_failures = 0;
+        unsigned ejections = 0;
+        bool ejected = false;
+        bool probing = false;
+        instant ejected_until{};
+        instant readmitted_at{};
+    };
+
+    struct kind_record
+    {
+        double log_reference = 0.0;
+        /// Variance of the logarithm of the run time around the expectation.
+        double log_variance = 0.25;
+        std::size_t observations = 0;
+    };
+
+    void eject(server_record& record, instant now);
+    void record_success(server_record& record, instant now);
+    [[nodiscard]] bool may_eject(const server_record& record) const;
+    [[nodiscard]] double log_reference(std::string_view kind,
+                                       microseconds declared) const;
+
+    server_stats_options options;
+    std::map<std::string, server_record, std::less<>> servers;
+    std::map<std::string, kind_record, std::less<>> kinds;
+    std::size_t changes = 0;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libjujubedrum/placement/slot_choice.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "base/time.hpp"
+
+#include <string>
+
+namespace jujubedrum
+{
+
+/// Server chosen for one task.
+struct slot_choice
+{
+    std::string server;
+    /// Expected run time of the task on that server.
+    microseconds expected{};
+    /// Whether the task tests an ejected server.
+    bool probe = false;
+
+    bool operator==(const slot_choice&) const = default;
+};
+
+} // namespace jujubedrum
