Implement slot division, server statistics, policies and grants

Grants are state based: a borrower reports what it holds and up to which request the report is complete, and the lender takes back the rest. A lost reply therefore needs no time-out at the lender and no clock.

--- a/src/libjujubedrum/placement/grant_book.hpp
+++ b/src/libjujubedrum/placement/grant_book.hpp
@@ -19,6 +19,15 @@
 namespace jujubedrum
 {
 
+/// Which free slots a lender gives away first.
+enum class lend_order
+{
+    /// Those of the servers it uses least.
+    most_idle,
+    fastest,
+    slowest,
+};
+
 /// Parameters of a `grant_book`.
 struct grant_options
 {
@@ -26,12 +35,17 @@
     microseconds linger = seconds(1);
     /// Time to wait for the reply to a request.
     microseconds reply_timeout = seconds(1);
-    /// Time after a refusal before the same peer is asked again.
-    microseconds refusal_pause = milliseconds(200);
+    /// Time after a refusal before the same peer is asked again; doubles with
+    /// each refusal in a row, up to `longest_pause`.
+    microseconds refusal_pause = milliseconds(100);
+    microseconds longest_pause = milliseconds(1600);
+    /// Age after which a reported number of free slots says nothing.
+    microseconds free_lifetime = seconds(2);
     /// Share of its capacity that a lender keeps free for itself.
     double reserve = 0.1;
     /// Slots asked for in addition to those needed, as a share of capacity.
     double headroom = 0.1;
+    lend_order order = lend_order::most_idle;
 };
 
 /// A request and the peer it goes to.
@@ -97,6 +111,9 @@
     std::vector<std::uint64_t> on_report(const grant_report& report,
                                          instant now);
 
+    /// Recalls grants of slots that this instance no longer owns. Call it after
+    /// the slots of the pool were replaced.
+    void on_slots_changed();
     /// Takes back all slots lent to a peer and drops those borrowed from it.
     void on_peer_dead(std::string_view peer);
 
@@ -113,6 +130,7 @@
         std::optional<unsigned> free;
         instant free_at{};
         instant refused_until{};
+        unsigned refusals = 0;
         /// Largest request sequence seen from the peer as a borrower.
         std::uint64_t last_sequence = 0;
     };
@@ -126,13 +144,17 @@
 
     using grant_map = std::map<std::uint64_t, std::map<std::string, unsigned>>;
 
-    [[nodiscard]] const std::string* best_lender(instant now) const;
+    [[nodiscard]] const std::string* best_lender(unsigned needed,
+                                                 instant now) const;
     [[nodiscard]] unsigned spare() const;
     [[nodiscard]] std::vector<slot_count> lend_slots(unsigned count);
-    void release(grant_map& grants, std::uint64_t sequence, bool lent);
-    void shrink(std::map<std::string, unsigned>& current,
-                const slot_grant& reported);
-    [[nodiscard]] std::vector<std::string> return_idle();
+    [[nodiscard]] std::vector<slot_count>
+    remaining(const std::map<std::string, unsigned>& grant) const;
+    void take_back(std::map<std::string, unsigned>& grant,
+                   const slot_grant* kept);
+    void drop_grant(const std::map<std::string, unsigned>& grant);
+    unsigned return_slots(grant_map& grants, bool idle_since_low);
+    void refused(peer_record& peer, instant now);
 
     std::string self;
     slot_pool& pool;
--- a/src/libjujubedrum/placement/grant_messages.hpp
+++ b/src/libjujubedrum/placement/grant_messages.hpp
@@ -16,24 +16,7 @@
     bool operator==(const slot_count&) const = default;
 };
 
-/// Request of one instance to use slots of another.
-struct borrow_request
-{
-    std::string borrower;
-    /// Increases with every request of a borrower, whichever peer it goes to.
-    /// Borrower and sequence together identify the grant.
-    std::uint64_t sequence = 0;
-    /// Slots needed for tasks that wait now.
-    unsigned needed = 0;
-    /// Slots wanted in all, at least `needed`.
-    unsigned wanted = 0;
-    /// Free slots of the borrower, for the lender's own requests.
-    unsigned free = 0;
-
-    bool operator==(const borrow_request&) const = default;
-};
-
-/// Slots lent for a request; empty if none could be spared.
+/// Slots lent for one request.
 struct slot_grant
 {
     /// Sequence of the request it answers.
@@ -43,20 +26,9 @@
     bool operator==(const slot_grant&) const = default;
 };
 
-/// Answer of a lender.
-struct borrow_reply
-{
-    std::string lender;
-    slot_grant grant;
-    /// Slots the lender still has free.
-    unsigned free = 0;
-
-    bool operator==(const borrow_reply&) const = default;
-};
-
 /// What a borrower holds of one lender. It carries the whole state, so a lost
-/// or repeated report does no harm. Sent to give slots back, and with every
-/// heartbeat.
+/// or repeated report does no harm. Sent to give slots back, with every
+/// heartbeat, and inside requests and replies.
 struct grant_report
 {
     std::string borrower;
@@ -73,4 +45,34 @@
     bool operator==(const grant_report&) const = default;
 };
 
+/// Request of one instance to use slots of another.
+struct borrow_request
+{
+    /// What the borrower holds of the lender so far; names the borrower.
+    grant_report report;
+    /// Increases with every request of a borrower, whichever peer it goes to.
+    /// Borrower and sequence together identify the grant.
+    std::uint64_t sequence = 0;
+    /// Slots needed for tasks that wait now.
+    unsigned needed = 0;
+    /// Slots wanted in all, at least `needed`.
+    unsigned wanted = 0;
+
+    bool operator==(const borrow_request&) const = default;
+};
+
+/// Answer of a lender.
+struct borrow_reply
+{
+    /// Slots lent; empty if none could be spared.
+    slot_grant grant;
+    /// What the lender in turn holds of the borrower; names the lender. It
+    /// returns idle slots of the borrower without a further message.
+    grant_report report;
+    /// Grants that the borrower reported and the lender does not know.
+    std::vector<std::uint64_t> revoked;
+
+    bool operator==(const borrow_reply&) const = default;
+};
+
 } // namespace jujubedrum
--- /dev/null
+++ b/src/libjujubedrum/placement/server_stats.cpp
@@ -0,0 +1,299 @@
+#include "placement/server_stats.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+/// Largest change of the logarithm of a run time that one observation is
+/// trusted for (a factor of 8), so that one absurd answer does no lasting harm.
+constexpr double residual_limit = 2.08;
+
+/// Failures count as at least this factor of the average run time, because the
+/// slowest of equally fast servers would not deter any task.
+constexpr double failure_slowness = 4.0;
+
+/// Standard deviations that 99 % of a normal distribution stay below.
+constexpr double p99_deviations = 2.33;
+
+double log_time(microseconds time)
+{
+    const auto count = std::max<microseconds::rep>(time.count(), 1);
+    return std::log(static_cast<double>(count));
+}
+
+microseconds from_log(double value)
+{
+    // An hour bounds the exponential; run times are at most a minute.
+    constexpr double longest = 3.6e9;
+    return microseconds(
+        static_cast<microseconds::rep>(std::min(std::exp(value), longest)));
+}
+
+double sample_weight(double weight, std::size_t earlier)
+{
+    return std::max(weight, 1.0 / (static_cast<double>(earlier) + 1.0));
+}
+
+} // namespace
+
+server_stats::server_stats(server_stats_options options)
+    : options(options)
+{
+}
+
+void server_stats::set_servers(const std::vector<backend_server>& servers)
+{
+    std::map<std::string, server_record, std::less<>> kept;
+    for (const backend_server& server : servers)
+    {
+        const auto known = this->servers.find(server.name());
+        server_record& record = kept[server.name()];
+        if (known != this->servers.end())
+        {
+            record = known->second;
+        }
+        record.domain = server.domain();
+    }
+    this->servers = std::move(kept);
+}
+
+void server_stats::on_finished(std::string_view server, std::string_view kind,
+                               microseconds declared, microseconds run_time,
+                               instant now)
+{
+    const auto at = this->servers.find(server);
+    if (at == this->servers.end())
+    {
+        return;
+    }
+    const double observed = log_time(run_time);
+    auto known = this->kinds.find(kind);
+    if (known == this->kinds.end())
+    {
+        known = this->kinds.emplace(kind, kind_record{}).first;
+        known->second.log_reference = log_time(declared);
+    }
+    kind_record& reference = known->second;
+    const double residual =
+        observed - reference.log_reference - at->second.log_slowness;
+    // The first observation replaces the declared run time.
+    const double shift =
+        reference.observations == 0
+            ? residual
+            : std::clamp(residual, -residual_limit, residual_limit);
+    if (reference.observations > 0)
+    {
+        observe(at->second, this->options.speed_weight, shift);
+        const double limited =
+            std::min(shift * shift, 9.0 * reference.log_variance);
+        reference.log_variance +=
+            this->options.reference_weight * (limited - reference.log_variance);
+    }
+    reference.log_reference +=
+        shift *
+        sample_weight(this->options.reference_weight, reference.observations);
+    ++reference.observations;
+    record_success(at->second, this->options.failure_weight, now);
+}
+
+void server_stats::observe(server_record& record, double weight,
+                           double residual)
+{
+    record.log_slowness +=
+        residual * sample_weight(weight, record.observations + 1);
+    ++record.observations;
+}
+
+void server_stats::on_overdue(std::string_view server, std::string_view kind,
+                              microseconds declared, microseconds elapsed)
+{
+    const auto at = this->servers.find(server);
+    if (at == this->servers.end())
+    {
+        return;
+    }
+    const double residual = log_time(elapsed) -
+                            this->log_reference(kind, declared) -
+                            at->second.log_slowness;
+    if (residual > 0.0)
+    {
+        observe(at->second, this->options.speed_weight,
+                std::min(residual, residual_limit));
+    }
+}
+
+void server_stats::on_failed(std::string_view server, instant now)
+{
+    const auto at = this->servers.find(server);
+    if (at == this->servers.end())
+    {
+        return;
+    }
+    server_record& record = at->second;
+    record.failure_rate +=
+        this->options.failure_weight * (1.0 - record.failure_rate);
+    const bool failed_probe = record.ejected && record.probing;
+    const bool outlier = !record.ejected &&
+                         record.failure_rate > this->options.ejection_rate &&
+                         this->may_eject(record);
+    if (failed_probe || outlier)
+    {
+        this->eject(record, now);
+    }
+}
+
+void server_stats::eject(server_record& record, instant now)
+{
+    if (!record.ejected &&
+        now - record.readmitted_at > this->options.longest_ejection)
+    {
+        record.ejections = 0;
+    }
+    constexpr unsigned most_doublings = 16;
+    const unsigned doublings = std::min(record.ejections, most_doublings);
+    const auto pause = std::min(this->options.first_ejection * (1 << doublings),
+                                this->options.longest_ejection);
+    ++record.ejections;
+    record.ejected = true;
+    record.probing = false;
+    record.ejected_until = now + pause;
+}
+
+bool server_stats::may_eject(const server_record& record) const
+{
+    const auto members =
+        std::count_if(this->servers.begin(), this->servers.end(),
+                      [&](const auto& entry)
+                      { return entry.second.domain == record.domain; });
+    const auto limit = static_cast<std::size_t>(static_cast<double>(members) *
+                                                this->options.ejection_limit);
+    // In a domain of two or three servers the limit would never allow any.
+    const std::size_t at_least = members > 1 ? 1 : 0;
+    return this->ejected(record.domain) < std::max(limit, at_least);
+}
+
+void server_stats::record_success(server_record& record, double weight,
+                                  instant now)
+{
+    record.failure_rate *= 1.0 - weight;
+    // Below this rate the penalty is lost in the noise of run times.
+    constexpr double negligible = 0.01;
+    if (record.failure_rate < negligible)
+    {
+        record.failure_rate = 0.0;
+    }
+    if (record.ejected && record.probing)
+    {
+        record.ejected = false;
+        record.probing = false;
+        record.readmitted_at = now;
+    }
+}
+
+void server_stats::on_probe_started(std::string_view server)
+{
+    const auto at = this->servers.find(server);
+    if (at != this->servers.end())
+    {
+        at->second.probing = true;
+    }
+}
+
+void server_stats::on_probe_ended(std::string_view server)
+{
+    const auto at = this->servers.find(server);
+    if (at != this->servers.end())
+    {
+        at->second.probing = false;
+    }
+}
+
+double server_stats::log_reference(std::string_view kind,
+                                   microseconds declared) const
+{
+    const auto known = this->kinds.find(kind);
+    return known == this->kinds.end() ? log_time(declared)
+                                      : known->second.log_reference;
+}
+
+double server_stats::log_expected(std::string_view server,
+                                  std::string_view kind,
+                                  microseconds declared) const
+{
+    return this->log_reference(kind, declared) +
+           std::log(this->slowness(server));
+}
+
+microseconds server_stats::expected_run_time(std::string_view server,
+                                             std::string_view kind,
+                                             microseconds declared) const
+{
+    return from_log(this->log_expected(server, kind, declared));
+}
+
+microseconds server_stats::run_time_bound(std::string_view server,
+                                          std::string_view kind,
+                                          microseconds declared) const
+{
+    const auto known = this->kinds.find(kind);
+    const double variance = known == this->kinds.end()
+                                ? kind_record{}.log_variance
+                                : known->second.log_variance;
+    return from_log(this->log_expected(server, kind, declared) +
+                    p99_deviations * std::sqrt(variance));
+}
+
+double server_stats::slowest() const
+{
+    double slowest = std::log(failure_slowness);
+    for (const auto& [name, record] : this->servers)
+    {
+        slowest = std::max(slowest, record.log_slowness);
+    }
+    return std::exp(slowest);
+}
+
+double server_stats::slowness(std::string_view server) const
+{
+    const auto at = this->servers.find(server);
+    if (at == this->servers.end())
+    {
+        return 1.0;
+    }
+    const double own = std::exp(at->second.log_slowness);
+    const double rate = at->second.failure_rate;
+    return rate == 0.0 ? own : own * (1.0 - rate) + this->slowest() * rate;
+}
+
+microseconds server_stats::reference(std::string_view kind,
+                                     microseconds declared) const
+{
+    return from_log(this->log_reference(kind, declared));
+}
+
+admission_state server_stats::admission(std::string_view server,
+                                        instant now) const
+{
+    const auto at = this->servers.find(server);
+    if (at == this->servers.end() || !at->second.ejected)
+    {
+        return admission_state::open;
+    }
+    const bool due = now >= at->second.ejected_until && !at->second.probing;
+    return due ? admission_state::probe : admission_state::ejected;
+}
+
+std::size_t server_stats::ejected(std::string_view domain) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        this->servers.begin(), this->servers.end(),
+        [&](const auto& entry)
+        { return entry.second.ejected && entry.second.domain == domain; }));
+}
+
+} // namespace jujubedrum
--- a/src/libjujubedrum/placement/server_stats.hpp
+++ b/src/libjujubedrum/placement/server_stats.hpp
@@ -62,6 +62,8 @@
     void on_failed(std::string_view server, instant now);
     /// Records that a probe was started; no second one starts until it ends.
     void on_probe_started(std::string_view server);
+    /// Allows another probe if the last one ended without a verdict.
+    void on_probe_ended(std::string_view server);
 
     /// Returns the expected run time of a task; unknown servers are assumed to
     /// have average speed. Failures count as the slowest run time.
@@ -83,8 +85,6 @@
                                             instant now) const;
     /// Returns the number of ejected servers of a domain.
     [[nodiscard]] std::size_t ejected(std::string_view domain) const;
-    /// Counts changes that affect `slowness`, so that callers can cache it.
-    [[nodiscard]] std::size_t revision() const { return this->changes; }
 
 private:
     struct server_record
@@ -93,7 +93,6 @@
         double log_slowness = 0.0;
         std::size_t observations = 0;
         double failure_rate = 0.0;
-        std::size_t recent_failures = 0;
         unsigned ejections = 0;
         bool ejected = false;
         bool probing = false;
@@ -110,15 +109,20 @@
     };
 
     void eject(server_record& record, instant now);
-    void record_success(server_record& record, instant now);
+    static void record_success(server_record& record, double weight,
+                               instant now);
+    static void observe(server_record& record, double weight, double residual);
+    [[nodiscard]] double slowest() const;
     [[nodiscard]] bool may_eject(const server_record& record) const;
+    [[nodiscard]] double log_expected(std::string_view server,
+                                      std::string_view kind,
+                                      microseconds declared) const;
     [[nodiscard]] double log_reference(std::string_view kind,
                                        microseconds declared) const;
 
     server_stats_options options;
     std::map<std::string, server_record, std::less<>> servers;
     std::map<std::string, kind_record, std::less<>> kinds;
-    std::size_t changes = 0;
 };
 
 } // namespace jujubedrum
--- a/src/libjujubedrum/placement/slot_pool.hpp
+++ b/src/libjujubedrum/placement/slot_pool.hpp
@@ -29,6 +29,8 @@
     /// Whether the platform's list names the server as live, and no answer
     /// said that it is leaving.
     bool usable = true;
+    /// Whether an answer of the server said that it is leaving.
+    bool said_leaving = false;
 
     /// Returns the number of slots this instance may use.
     [[nodiscard]] unsigned capacity() const
@@ -53,8 +55,9 @@
     void set_servers(const std::vector<backend_server>& servers,
                      const slot_map& owned);
     /// Stops new tasks on a server that answered that it is leaving, before
-    /// the platform's list says so. A later list that names it live and
-    /// contains it as new is needed to use it again.
+    /// the platform's list says so. It is used again only after a list that
+    /// does not name it as live, followed by one that does; the list lags, so
+    /// one that still names it as live proves nothing.
     void mark_leaving(std::string_view server);
 
     /// Counts a task as running; false if the server is unknown.
