--- /dev/null
+++ b/src/libjujubedrum/membership/member_options.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "base/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace jujubedrum
+{
+
+/// Times and limits of the member table.
+struct member_options
+{
+    /// Time between two rounds of heartbeats.
+    microseconds round = milliseconds(500);
+    /// Most heartbeats sent in a round.
+    std::size_t targets_per_round = 4;
+    /// Consecutive failed heartbeats that make a peer suspect.
+    std::uint32_t missed_limit = 3;
+    /// Shortest silence that makes a peer suspect: three rounds.
+    microseconds shortest_silence = milliseconds(1500);
+    /// Silence that makes a peer unreachable. Raised where one pass over all
+    /// peers takes longer.
+    microseconds unreachable_after = seconds(10);
+    /// Time that a peer must be suspect before it loses its slots.
+    microseconds exclusion_delay = seconds(2);
+    /// Consecutive heartbeats before a peer gets its slots back.
+    std::uint32_t return_heartbeats = 3;
+    /// How much later than the last contact a list page must have been read to
+    /// prove death. The list lags: after a restart under the same name it may
+    /// still show the removal while the new process is running.
+    microseconds list_grace = seconds(10);
+    /// Time without a live entry instance before a failure domain is taken
+    /// over.
+    microseconds takeover_after = seconds(10);
+    /// A longer time between two ticks means that this process was paused;
+    /// that time is not counted as silence of the peers.
+    microseconds own_pause = seconds(1);
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libjujubedrum/membership/member_table.hpp
@@ -0,0 +1,181 @@
+#pragma once
+
+#include "base/time.hpp"
+#include "membership/instance_info.hpp"
+#include "membership/instance_page.hpp"
+#include "membership/member_options.hpp"
+#include "membership/peer_digest.hpp"
+#include "membership/peer_record.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// One peer as this instance sees it.
+struct peer_view
+{
+    instance_info info;
+    peer_state state = peer_state::alive;
+    /// 0 until the peer has been heard directly.
+    std::uint64_t incarnation = 0;
+    /// Whether the peer is counted among the owners of slots.
+    bool owns_slots = false;
+    peer_phase phase = peer_phase::starting;
+    /// As of its last digest.
+    std::uint32_t free_slots = 0;
+    std::uint32_t queued_tasks = 0;
+
+    bool operator==(const peer_view&) const = default;
+};
+
+/// The highest configuration revision known, and a peer that has it.
+struct revision_holder
+{
+    std::uint64_t revision = 0;
+    std::string name;
+
+    bool operator==(const revision_holder&) const = default;
+};
+
+/// Decides which instances are live, from the platform's list and from
+/// heartbeats. Clockless: every input carries its time. Not thread-safe.
+class member_table
+{
+public:
+    /// \param self the description of this instance, from its settings.
+    /// \param incarnation random value of this process start, not 0.
+    member_table(instance_info self, std::uint64_t incarnation,
+                 member_options options = {});
+
+    /// Takes in a page of the platform's list. Pages with a version below the
+    /// known one are ignored.
+    /// \param asked_at when the request for the page was sent: a page says
+    /// nothing about what happened after that.
+    void on_list(const instance_page& page, instant asked_at);
+
+    /// Takes in the digest of a heartbeat that a peer sent to this instance.
+    /// Another incarnation than the known one is believed only once it answers
+    /// a heartbeat, because a delayed request may come from a dead process.
+    void on_digest(const peer_digest& digest, instant now);
+
+    /// Takes in the digest with which a peer answered a heartbeat.
+    /// \param sent_at when the heartbeat was sent.
+    void on_reply(const peer_digest& digest, instant sent_at, instant now);
+
+    /// Takes in that a heartbeat, or another call, to the peer failed.
+    void on_heartbeat_failed(const std::string& name, instant now);
+
+    /// Advances time and returns the peers to send a heartbeat to; empty
+    /// between rounds. May be called at any rate.
+    [[nodiscard]] std::vector<instance_info> tick(instant now);
+
+    /// Returns the digest of this instance with its observations of others,
+    /// and raises the heartbeat counter.
+    [[nodiscard]] peer_digest make_digest(peer_phase phase,
+                                          std::uint64_t revision,
+                                          std::uint32_t free_slots,
+                                          std::uint32_t queued_tasks);
+
+    /// Returns whether the process is proved not to run any more: its name
+    /// answered with another incarnation afterwards, or is gone from a list
+    /// page read `list_grace` after the last contact. For an incarnation never
+    /// heard, only evidence later than the first such question counts.
+    [[nodiscard]] bool is_dead(const std::string& name,
+                               std::uint64_t incarnation, instant now);
+
+    /// Returns the peer, or nothing if it is unknown.
+    [[nodiscard]] std::optional<peer_view> find(const std::string& name) const;
+
+    /// Returns all known peers that are not dead, ordered by name.
+    [[nodiscard]] std::vector<peer_view> peers() const;
+
+    /// Returns the entry instances among which the slots of the domain's
+    /// backend servers are divided, ordered by name, this instance included.
+    /// For a domain without a live entry instance these are the ones of the
+    /// region.
+    [[nodiscard]] std::vector<instance_info>
+    slot_owners(const std::string& domain) const;
+
+    /// Returns the listed backend servers, live and leaving, by name.
+    [[nodiscard]] std::vector<instance_info> backends() const;
+
+    /// Returns the failure domains of this region that have backend servers
+    /// but have had no live entry instance for `takeover_after`.
+    [[nodiscard]] std::vector<std::string> orphaned_domains() const;
+
+    /// Returns the highest configuration revision that a peer in contact has,
+    /// or nothing if none has been heard.
+    [[nodiscard]] std::optional<revision_holder> highest_revision() const;
+
+    /// Returns a counter that rises when a state, an owner of slots, a listed
+    /// instance or the set of orphaned domains changes.
+    [[nodiscard]] std::uint64_t changed() const;
+
+    /// Returns the number of entry instances on the list, this one included,
+    /// whether reachable or not. Quotas are divided by it.
+    [[nodiscard]] std::size_t listed_entries() const;
+
+    /// Returns the total weight of the entry instances on the list, this one
+    /// included.
+    [[nodiscard]] std::uint64_t listed_weight() const;
+
+    /// Returns the version of the list, to be passed as `since`.
+    [[nodiscard]] std::uint64_t list_version() const;
+
+    /// Returns this instance's own description.
+    [[nodiscard]] const instance_info& self() const;
+
+private:
+    struct question
+    {
+        std::string name;
+        std::uint64_t incarnation = 0;
+        instant at{0};
+    };
+
+    void apply_change(const instance_info& info, instant asked_at);
+    void apply_entry(const instance_info& info, instant asked_at);
+    void mark_missing_gone(const instance_page& page, instant asked_at);
+    void limit_tombstones();
+    peer_record* known(const peer_digest& digest);
+    void contact(peer_record& peer, const peer_digest& digest, instant now);
+    void observe(const peer_observation& seen, instant now);
+    void refresh(peer_record& peer, instant now);
+    void refresh_all(instant now);
+    void refresh_domains(instant now);
+    void credit_own_pause(instant now);
+    [[nodiscard]] std::uint64_t heartbeat_weight(const peer_record&) const;
+    [[nodiscard]] microseconds pass_time(const peer_record& peer) const;
+    [[nodiscard]] bool gone_is_proof(const peer_record&, instant since) const;
+    instant first_question(const std::string& name, std::uint64_t incarnation,
+                           instant now);
+    [[nodiscard]] std::vector<instance_info>
+    owners_where(const std::string& domain, const std::string& region) const;
+
+    instance_info own;
+    std::uint64_t incarnation = 0;
+    member_options options;
+    std::map<std::string, peer_record> records;
+    std::map<std::string, instance_info> servers;
+    std::map<std::string, instant> ownerless_since;
+    std::set<std::string> orphaned;
+    std::vector<question> questions;
+    bool listed = false;
+    std::uint64_t version = 0;
+    instant list_read_at{0};
+    std::optional<instant> last_tick;
+    std::optional<instant> last_round;
+    std::uint64_t total_weight = 0;
+    std::uint64_t heartbeat = 0;
+    std::uint64_t generation = 0;
+    std::string observation_cursor;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libjujubedrum/membership/peer_record.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "base/time.hpp"
+#include "membership/instance_info.hpp"
+#include "membership/peer_digest.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// What the member table keeps of one other entry instance.
+struct peer_record
+{
+    instance_info info;
+    /// Last incarnation that was heard; 0 if none.
+    std::uint64_t incarnation = 0;
+    /// Incarnations that were followed by another one; the oldest is dropped.
+    std::vector<std::uint64_t> superseded;
+    /// An incoming heartbeat had another incarnation; not confirmed yet.
+    bool incarnation_doubt = false;
+    peer_digest last;
+    peer_state state = peer_state::alive;
+    instant suspect_since{0};
+    bool owner = false;
+    std::uint32_t good_in_row = 0;
+    std::uint32_t failed_in_row = 0;
+    bool another_suspects = false;
+    /// Arrival of the last digest; proofs use this one.
+    instant last_contact{0};
+    /// Latest time at which the known incarnation certainly still ran.
+    instant proved_running{0};
+    /// Start of the current silence; suspicion uses this one.
+    instant silence_from{0};
+    instant last_sent{0};
+    std::uint64_t counter = 0;
+    std::uint64_t revision = 0;
+    /// Mean and deviation of the time between contacts, in microseconds.
+    double gap_mean = 0;
+    double gap_deviation = 0;
+
+    /// Takes the time since the last contact into the adaptive estimate.
+    void note_gap(microseconds gap);
+
+    /// Returns the silence that is usual for this peer, with a margin.
+    [[nodiscard]] microseconds usual_silence() const;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libruntime/peer_handler.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "peer_messages.hpp"
+
+#include <functional>
+
+namespace jujubedrum
+{
+
+/// Answers the requests of peers.
+class peer_handler
+{
+public:
+    peer_handler() = default;
+    peer_handler(const peer_handler&) = delete;
+    peer_handler& operator=(const peer_handler&) = delete;
+    virtual ~peer_handler() = default;
+
+    /// Called on the RPC thread; must not block.
+    /// \param reply may be called once, at any time and from any thread. The
+    /// caller gets an error if all copies of it are destroyed without a call.
+    virtual void on_request(peer_request request,
+                            std::function<void(peer_reply)> reply) = 0;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libruntime/peer_options.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "base/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace jujubedrum
+{
+
+/// Settings of the peer RPC.
+struct peer_options
+{
+    /// Numeric IP address to listen on.
+    std::string address = "127.0.0.1";
+    /// Port to listen on; 0 lets the system choose one.
+    std::uint16_t rpc_port = 0;
+    /// Posted calls and replies that wait for the RPC thread.
+    std::size_t ring_capacity = 4096;
+    /// Calls sent and not answered yet, to all peers.
+    std::size_t max_outgoing = 2048;
+    /// Requests of peers not answered yet.
+    std::size_t max_incoming = 2048;
+    /// Connections accepted at the same time.
+    std::size_t max_connections = 512;
+    microseconds connect_timeout = seconds(1);
+    /// Time after which a call other than `submit` and `collect` fails.
+    microseconds call_timeout = seconds(2);
+    /// Added to the remaining time of `submit` and the wait of `collect`.
+    microseconds reply_margin = seconds(1);
+    /// First and longest time between two attempts to connect.
+    microseconds first_back_off = milliseconds(50);
+    microseconds longest_back_off = seconds(1);
+    /// Largest message in either direction.
+    std::size_t max_message_bytes = std::size_t{9} << 20U;
+};
+
+} // namespace jujubedrum
