Add stand-ins for the platform and backend servers

Scenarios and load runs need a platform log, an instance list and backend servers to run against. Handlers can close a connection without a byte of reply, which cpp-httplib cannot do by itself: a content provider that fails still sends the status line, so the server uses its own connection stream.

Checked by hand with curl: append, long poll, lost reply, outage, list deltas, task run, stop, memory guard, draining, SIGTERM.

--- /dev/null
+++ b/standins/backend/backend_server_standin.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "backend/server_faults.hpp"
+#include "backend/server_options.hpp"
+#include "backend/slot_queue.hpp"
+#include "backend/start_counter.hpp"
+#include "backend/task_plan.hpp"
+#include "backend/task_request.hpp"
+#include "base/time.hpp"
+#include "common/standin_server.hpp"
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <set>
+#include <string>
+
+namespace jujubedrum
+{
+
+/// One simulated backend server over HTTP, with faults.
+class backend_server_standin : public standin_server
+{
+public:
+    explicit backend_server_standin(const server_options& options);
+
+    /// Stops all tasks and closes the server.
+    void shut_down();
+
+protected:
+    void on_connection_closed(int connection) override;
+
+private:
+    struct usage
+    {
+        instant at{0};
+        std::size_t running = 0;
+        std::size_t waiting = 0;
+        long long memory_mb = 0;
+    };
+
+    void run(const httplib::Request& request, httplib::Response& response);
+    void run_task(const task_request& request, httplib::Response& response);
+    bool wait_for_slot(std::unique_lock<std::mutex>& lock, task_entry& entry,
+                       const task_request& request);
+    std::string occupy_slot(std::unique_lock<std::mutex>& lock,
+                            task_entry& entry, const task_plan& plan);
+    void leave(task_entry& entry);
+    void start_tasks();
+    bool hold_reply(std::unique_lock<std::mutex>& lock);
+    void wait_while_frozen(std::unique_lock<std::mutex>& lock);
+    void refuse(httplib::Response& response, const char* error);
+    void stop_task(const httplib::Request& request,
+                   httplib::Response& response);
+    void set_faults(const httplib::Request& request,
+                    httplib::Response& response);
+    void report_starts(const httplib::Request& request,
+                       httplib::Response& response);
+    void report_usage(httplib::Response& response);
+    void record_usage();
+
+    const server_options options;
+    std::mutex state_mutex;
+    std::condition_variable thawed;
+    slot_queue queue;
+    start_counter starts;
+    server_faults faults;
+    std::set<int> task_connections;
+    std::deque<usage> usages;
+    bool stopping = false;
+    long long received = 0;
+    long long refused = 0;
+    long long answered = 0;
+    long long failed = 0;
+    long long stop_requests = 0;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/standins/backend/start_counter.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+
+#include <nlohmann/json.hpp>
+
+namespace jujubedrum
+{
+
+/// Counts how often each task id was started. The oldest ids are forgotten
+/// beyond a limit; the totals keep counting.
+class start_counter
+{
+public:
+    explicit start_counter(std::size_t max_tasks)
+        : max_tasks(max_tasks)
+    {
+    }
+
+    /// Counts one start of the task.
+    void count(const std::string& task);
+    /// Returns the number of starts of all tasks.
+    [[nodiscard]] std::uint64_t total() const { return this->starts; }
+    /// Returns the number of starts beyond the first of their task.
+    [[nodiscard]] std::uint64_t repeated() const { return this->repeats; }
+    /// Returns an object of task id to count, of one job or of all ("").
+    [[nodiscard]] nlohmann::json tasks(const std::string& job) const;
+
+private:
+    const std::size_t max_tasks;
+    std::unordered_map<std::string, std::uint64_t> counts;
+    std::deque<std::string> order;
+    std::uint64_t starts = 0;
+    std::uint64_t repeats = 0;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/standins/backend/task_request.cpp
@@ -0,0 +1,74 @@
+#include "backend/task_request.hpp"
+
+#include "base/hash.hpp"
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+constexpr std::size_t longest_echo = 256;
+
+bool has_number(const nlohmann::json& body, const char* name)
+{
+    const auto field = body.find(name);
+    return field == body.end() || (field->is_number() && *field >= 0);
+}
+
+bool has_text(const nlohmann::json& body, const char* name)
+{
+    const auto field = body.find(name);
+    return field != body.end() && field->is_string();
+}
+
+void read_behaviour(const nlohmann::json& payload, task_request& request)
+{
+    if (!payload.is_object() || !has_number(payload, "actual_ms") ||
+        !has_number(payload, "use_memory_mb"))
+    {
+        return;
+    }
+    request.actual_ms = payload.value("actual_ms", request.run_ms);
+    request.use_memory_mb =
+        payload.value("use_memory_mb", request.use_memory_mb);
+    const auto fail = payload.find("fail");
+    request.fail = fail != payload.end() && *fail == true;
+}
+
+} // namespace
+
+std::optional<task_request> task_request::parse(const nlohmann::json& body)
+{
+    if (!has_text(body, "task") || !has_text(body, "kind") ||
+        !has_number(body, "memory_mb") || !has_number(body, "run_ms") ||
+        !has_number(body, "lease_ms"))
+    {
+        return std::nullopt;
+    }
+    task_request result;
+    result.task = body["task"];
+    result.kind = body["kind"];
+    result.memory_mb = body.value("memory_mb", 0LL);
+    result.run_ms = body.value("run_ms", 0.0);
+    result.lease_ms = body.value("lease_ms", 0LL);
+    result.actual_ms = result.run_ms;
+    const nlohmann::json payload = body.value("payload", nlohmann::json(""));
+    result.payload =
+        payload.is_string() ? payload.get<std::string>() : payload.dump();
+    if (result.payload.starts_with('{'))
+    {
+        read_behaviour(nlohmann::json::parse(result.payload, nullptr, false),
+                       result);
+    }
+    return result;
+}
+
+std::string task_request::result() const
+{
+    return this->kind + ':' +
+           (this->payload.size() <= longest_echo ? this->payload
+                                                 : sha256_hex(this->payload));
+}
+
+} // namespace jujubedrum
--- /dev/null
+++ b/standins/platform/platform_options.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+namespace jujubedrum
+{
+
+/// Command line of the platform stand-in.
+struct platform_options
+{
+    std::string address = "127.0.0.1";
+    int port = 0;
+    int append_cap = 300;
+    long long retain_records = 1000000;
+    long long retain_seconds = 3600;
+    long long list_lag_ms = 0;
+    long long append_ms = 4;
+
+    /// Parses the arguments; prints the usage and returns nothing if they are
+    /// wrong.
+    static std::optional<platform_options> parse(int argc, char** argv);
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/standins/platform/platform_server.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "common/standin_server.hpp"
+#include "platform/append_cap.hpp"
+#include "platform/instance_list.hpp"
+#include "platform/platform_faults.hpp"
+#include "platform/platform_options.hpp"
+#include "platform/record_log.hpp"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace jujubedrum
+{
+
+/// The platform's log service and instance list over HTTP, with faults.
+class platform_server : public standin_server
+{
+public:
+    explicit platform_server(const platform_options& options);
+
+    /// Wakes all long polls and closes the server.
+    void shut_down();
+
+private:
+    void append(const httplib::Request& request, httplib::Response& response);
+    void read(const httplib::Request& request, httplib::Response& response);
+    void list(const httplib::Request& request, httplib::Response& response);
+    void put_instance(const httplib::Request& request,
+                      httplib::Response& response);
+    void set_faults(const httplib::Request& request,
+                    httplib::Response& response);
+    void counts(httplib::Response& response);
+    record_log& stream(const std::string& name);
+    void pause(std::unique_lock<std::mutex>& lock, microseconds time);
+    bool take(long long& count);
+
+    const platform_options options;
+    std::mutex state_mutex;
+    std::condition_variable changed;
+    append_cap cap;
+    std::map<std::string, record_log> streams;
+    instance_list instances;
+    platform_faults faults;
+    bool stopping = false;
+    long long appends = 0;
+    long long refused_appends = 0;
+    long long reads = 0;
+    long long list_reads = 0;
+};
+
+} // namespace jujubedrum
