Add the runtime and the entry instance daemon

Cause: the engine needs threads, sockets and a process around it. Peers are not connected yet; calls to them fail as unreachable.

--- a/src/libjujubedrum/engine/claim_controller.cpp
+++ b/src/libjujubedrum/engine/claim_controller.cpp
@@ -95,7 +95,7 @@
     }
     if (result.offset)
     {
-        stream->ledger->on_append_reply(result.nonce, *result.offset);
+        stream->ledger->on_append_reply(result.nonce);
         stream->next_read = instant(0);
     }
     else
--- a/src/libjujubedrum/engine/config_controller.cpp
+++ b/src/libjujubedrum/engine/config_controller.cpp
@@ -62,8 +62,8 @@
         const auto spread =
             static_cast<std::uint64_t>(this->retention.count() / 3);
         this->snapshot_due =
-            now + microseconds(static_cast<std::int64_t>(
-                      this->random.below(spread)));
+            now +
+            microseconds(static_cast<std::int64_t>(this->random.below(spread)));
     }
     if (now < *this->snapshot_due || this->appending || !this->read_to_end)
     {
@@ -106,7 +106,8 @@
 
 microseconds config_controller::until_next_snapshot()
 {
-    const auto spread = static_cast<std::uint64_t>(this->retention.count() / 12);
+    const auto spread =
+        static_cast<std::uint64_t>(this->retention.count() / 12);
     return this->retention / 3 +
            microseconds(static_cast<std::int64_t>(this->random.below(spread)));
 }
--- a/src/libjujubedrum/engine/dispatch_engine.cpp
+++ b/src/libjujubedrum/engine/dispatch_engine.cpp
@@ -54,11 +54,29 @@
     return result;
 }
 
-std::unique_ptr<placement_policy>
-policy_of(const engine_options& options, const placement_context& context)
+std::string_view to_string(peer_state state)
+{
+    switch (state)
+    {
+    case peer_state::alive:
+        return "alive";
+    case peer_state::suspect:
+        return "suspect";
+    case peer_state::unreachable:
+        return "unreachable";
+    case peer_state::dead:
+        return "dead";
+    case peer_state::leaving:
+        return "leaving";
+    }
+    return "unknown";
+}
+
+std::unique_ptr<placement_policy> policy_of(const engine_options& options,
+                                            const placement_context& context)
 {
     placement_reason why;
-    return make_policy(to_string(options.policy), context, why);
+    return make_policy(jujubedrum::to_string(options.policy), context, why);
 }
 
 } // namespace
@@ -117,8 +135,8 @@
 {
     if (next.job.id().empty())
     {
-        next.job = next.job.with_id(
-            this->issuer.issue(1, this->now).first().text());
+        next.job =
+            next.job.with_id(this->issuer.issue(1, this->now).first().text());
     }
     if (this->answer_known(next.token, next.job))
     {
@@ -147,8 +165,7 @@
         return;
     }
     const auto claim = this->claiming.find(next.id);
-    if (claim != this->claiming.end() &&
-        claim->second.job.team() == next.team)
+    if (claim != this->claiming.end() && claim->second.job.team() == next.team)
     {
         claim->second.waiters.push_back(next.token);
         return;
@@ -251,8 +268,7 @@
     }
     pending_call context = std::move(found->second);
     this->calls.erase(found);
-    std::visit([this, &next](auto& call)
-               { this->on_result(call, next.reply); },
+    std::visit([this, &next](auto& call) { this->on_result(call, next.reply); },
                context);
 }
 
@@ -260,11 +276,9 @@
 {
     this->send_heartbeats();
     this->return_slots();
-    this->claims.set_flush_interval(
-        std::max<microseconds>(milliseconds(5),
-                               microseconds(seconds(this->members
-                                                        .live_entries())) /
-                                   this->options.tunables.claim_append_budget));
+    this->claims.set_flush_interval(std::max<microseconds>(
+        milliseconds(5), microseconds(seconds(this->members.live_entries())) /
+                             this->options.tunables.claim_append_budget));
     this->claims.tick(this->now, this->wall);
     this->config.tick(this->now);
     this->table.expire(this->now);
@@ -326,8 +340,8 @@
         return found;
     };
     job_reason why;
-    auto job = submission::parse(request.job, submission_limits(), defaults,
-                                 why);
+    auto job =
+        submission::parse(request.job, submission_limits(), defaults, why);
     if (!job)
     {
         this->reply_error(token, 400, "malformed", why.message());
@@ -431,8 +445,7 @@
                                   std::string code, std::string text)
 {
     this->out.add(reply_action{
-        token,
-        api_reply(api_error{status, std::move(code), std::move(text)})});
+        token, api_reply(api_error{status, std::move(code), std::move(text)})});
 }
 
 bool dispatch_engine::answer_known(request_token token, const submission& job)
@@ -540,8 +553,9 @@
     }
     const std::string id = job.id();
     job_reason why;
-    if (this->claims.claim(id, job.digest(), job.created_at().value_or(wall_time(0)),
-                           this->now, this->wall, why))
+    if (this->claims.claim(id, job.digest(),
+                           job.created_at().value_or(wall_time(0)), this->now,
+                           this->wall, why))
     {
         this->claiming[id] = {std::move(job), received, deadline, {token}};
         return;
@@ -553,14 +567,14 @@
                     outcome::failed(outcome_reason::id_expired, why.message()));
         return;
     case job_error::in_future:
-        this->reply(token, id,
-                    outcome::not_run(outcome_reason::clock_skew, why.message(),
-                                     false));
+        this->reply(
+            token, id,
+            outcome::not_run(outcome_reason::clock_skew, why.message(), false));
         return;
     default:
-        this->reply(token, id,
-                    outcome::not_run(outcome_reason::overloaded, why.message(),
-                                     true));
+        this->reply(
+            token, id,
+            outcome::not_run(outcome_reason::overloaded, why.message(), true));
         return;
     }
 }
@@ -698,8 +712,8 @@
     }
     if (deadline <= this->now)
     {
-        return outcome::not_run(outcome_reason::deadline,
-                                "the deadline passed", true);
+        return outcome::not_run(outcome_reason::deadline, "the deadline passed",
+                                true);
     }
     const auto left =
         std::chrono::duration_cast<milliseconds>(deadline - this->now);
@@ -713,8 +727,8 @@
                                 "memory or within this deadline",
                                 false);
     case admission_verdict::queue_full:
-        return outcome::not_run(outcome_reason::overloaded,
-                                "the queue is full", true);
+        return outcome::not_run(outcome_reason::overloaded, "the queue is full",
+                                true);
     case admission_verdict::deadline_too_near:
         return outcome::not_run(outcome_reason::deadline,
                                 "the estimated wait exceeds the deadline",
@@ -805,8 +819,7 @@
             context.id = verdict.id;
             context.peer = verdict.instance;
             this->metrics.on_message(message_cause::forward, 2);
-            this->call(*peer,
-                       collect_request{verdict.id, job.job.team(), {}},
+            this->call(*peer, collect_request{verdict.id, job.job.team(), {}},
                        std::move(context));
         }
         else
@@ -826,8 +839,8 @@
             static_cast<std::uint32_t>(this->jobs.queued()));
         request.grants = this->grants.report_for(peer.name);
         this->metrics.on_message(message_cause::control, 2);
-        this->call({peer.name, peer.address, peer.rpc_port},
-                   std::move(request), heartbeat_call{peer.name, this->now});
+        this->call({peer.name, peer.address, peer.rpc_port}, std::move(request),
+                   heartbeat_call{peer.name, this->now});
     }
 }
 
@@ -851,8 +864,7 @@
         return;
     }
     this->metrics.on_message(message_cause::grant, 2);
-    this->call(*peer, planned->request,
-               borrow_call{planned->request.sequence});
+    this->call(*peer, planned->request, borrow_call{planned->request.sequence});
 }
 
 void dispatch_engine::return_slots()
@@ -896,8 +908,7 @@
     retries.fraction = document.system().retry_percent() / 100.0;
     this->budget = retry_budget(retries);
     job_options changed = this->jobs.current_options();
-    changed.hedging =
-        document.system().objective() == objective::response_time;
+    changed.hedging = document.system().objective() == objective::response_time;
     this->jobs.set_options(changed);
     this->out.add(document_action{this->applied_revision});
 }
@@ -950,8 +961,8 @@
         view.largest_memory_mb =
             std::max(view.largest_memory_mb,
                      static_cast<std::uint32_t>(server.server.memory_mb()));
-        fastest = std::max(
-            fastest, 1.0 / std::max(this->stats.slowness(name), 0.01));
+        fastest =
+            std::max(fastest, 1.0 / std::max(this->stats.slowness(name), 0.01));
     }
     view.fastest_speed = fastest > 0 ? fastest : 1.0;
     view.slots = this->pool.capacity();
@@ -974,6 +985,7 @@
     {
         peers.push_back({{"name", peer.info.name},
                          {"domain", peer.info.domain},
+                         {"revision", peer.revision},
                          {"state", to_string(peer.state)}});
     }
     return nlohmann::json{
--- a/src/libjujubedrum/engine/dispatch_engine.hpp
+++ b/src/libjujubedrum/engine/dispatch_engine.hpp
@@ -158,8 +158,8 @@
                instant deadline);
     void forward(submit_event&& next, const std::string& to);
     void answer_unreachable(request_token token, const std::string& id);
-    bool pass_on(request_token token, const std::string& id,
-                 std::uint32_t hops, const peer_request& request);
+    bool pass_on(request_token token, const std::string& id, std::uint32_t hops,
+                 const peer_request& request);
     void admit(submission job, const std::vector<request_token>& waiters,
                instant received, instant deadline);
     std::optional<outcome> refuse(const submission& job, instant deadline);
--- a/src/libjujubedrum/engine/events.hpp
+++ b/src/libjujubedrum/engine/events.hpp
@@ -119,10 +119,9 @@
 };
 
 /// Something that happened around the engine.
-using event =
-    std::variant<submit_event, collect_event, cancel_event, ids_event,
-                 task_event, list_event, records_event, read_failed_event,
-                 append_event, peer_request_event, peer_reply_event, tick_event,
-                 drain_event>;
+using event = std::variant<submit_event, collect_event, cancel_event, ids_event,
+                           task_event, list_event, records_event,
+                           read_failed_event, append_event, peer_request_event,
+                           peer_reply_event, tick_event, drain_event>;
 
 } // namespace jujubedrum
--- a/src/libjujubedrum/engine/job_controller.cpp
+++ b/src/libjujubedrum/engine/job_controller.cpp
@@ -251,9 +251,8 @@
     }
     if (reply.status == send_status::answered)
     {
-        const microseconds run_time = reply.run_time.count() > 0
-                                          ? reply.run_time
-                                          : now - attempt.sent;
+        const microseconds run_time =
+            reply.run_time.count() > 0 ? reply.run_time : now - attempt.sent;
         this->services.stats.on_finished(attempt.server, attempt.kind,
                                          attempt.declared, run_time, now);
         return;
@@ -285,13 +284,14 @@
     }
     task.at = stage::done;
     task.answer = reply.result;
-    const double slowness = std::max(
-        this->services.stats.slowness(attempt.server), 0.01);
+    const double slowness =
+        std::max(this->services.stats.slowness(attempt.server), 0.01);
     const double fastest = this->services.stats.slowness("");
     (void)fastest;
-    job.ideal = std::max(
-        job.ideal, microseconds(static_cast<std::int64_t>(
-                       static_cast<double>(reply.run_time.count()) / slowness)));
+    job.ideal =
+        std::max(job.ideal,
+                 microseconds(static_cast<std::int64_t>(
+                     static_cast<double>(reply.run_time.count()) / slowness)));
     if (--job.unfinished > 0)
     {
         return;
@@ -321,8 +321,8 @@
     if (started && !repeatable)
     {
         this->fail_or_not_run(job, outcome_reason::task_failed,
-                              "task " + std::to_string(attempt.index) +
-                                  " on " + attempt.server + ": " + reply.error,
+                              "task " + std::to_string(attempt.index) + " on " +
+                                  attempt.server + ": " + reply.error,
                               now);
         return;
     }
@@ -366,8 +366,8 @@
     const std::string id = job.job.id();
     const double response = static_cast<double>((now - job.received).count());
     const double ideal = static_cast<double>(job.ideal.count());
-    this->services.metrics.on_job_finished(
-        to_string(result.kind()), ideal > 0 ? response / ideal : 0.0);
+    this->services.metrics.on_job_finished(to_string(result.kind()),
+                                           ideal > 0 ? response / ideal : 0.0);
     for (const request_token waiter : job.waiters)
     {
         this->services.out.add(reply_action{waiter, api_reply(id, result)});
@@ -389,10 +389,10 @@
             quota->refund(job.tasks.size());
         }
         this->services.metrics.on_message(message_cause::refusal, 1);
-        this->finish(job,
-                     outcome::not_run(reason, text,
-                                      reason != outcome_reason::cancelled),
-                     now);
+        this->finish(
+            job,
+            outcome::not_run(reason, text, reason != outcome_reason::cancelled),
+            now);
         return;
     }
     this->stop_attempts(job, now);
@@ -403,8 +403,8 @@
 {
     for (const auto& [id, attempt] : this->attempts)
     {
-        if (attempt.job != job.number ||
-            attempt.sent + attempt.expected - now < this->options.stop_threshold)
+        if (attempt.job != job.number || attempt.sent + attempt.expected - now <
+                                             this->options.stop_threshold)
         {
             continue;
         }
--- a/src/libjujubedrum/engine/member_controller.cpp
+++ b/src/libjujubedrum/engine/member_controller.cpp
@@ -144,10 +144,9 @@
         }
     }
     this->stats.set_servers(servers);
-    this->pool.set_servers(servers, slot_map::build(
-                                        servers, entries,
-                                        this->members.self().name,
-                                        this->members.orphaned_domains()));
+    this->pool.set_servers(
+        servers, slot_map::build(servers, entries, this->members.self().name,
+                                 this->members.orphaned_domains()));
 }
 
 void member_controller::rebuild_peers()
@@ -155,8 +154,7 @@
     std::vector<entry_instance> peers;
     for (const peer_view& peer : this->members.peers())
     {
-        if (is_live(peer) &&
-            peer.info.region == this->members.self().region)
+        if (is_live(peer) && peer.info.region == this->members.self().region)
         {
             peers.push_back(to_entry(peer.info));
         }
--- a/src/libjujubedrum/engine/peer_messages.hpp
+++ b/src/libjujubedrum/engine/peer_messages.hpp
@@ -128,13 +128,11 @@
 };
 
 /// The alternatives are in the order of `peer_call_names`.
-using peer_request =
-    std::variant<heartbeat_request, borrow_request, grant_report,
-                 submit_request, collect_request, cancel_request,
-                 config_records_request>;
-
-using peer_reply =
-    std::variant<heartbeat_reply, borrow_reply, give_back_reply, job_reply,
-                 config_records_reply, peer_failure>;
+using peer_request = std::variant<heartbeat_request, borrow_request,
+                                  grant_report, submit_request, collect_request,
+                                  cancel_request, config_records_request>;
+
+using peer_reply = std::variant<heartbeat_reply, borrow_reply, give_back_reply,
+                                job_reply, config_records_reply, peer_failure>;
 
 } // namespace jujubedrum
--- a/src/libjujubedrum/engine/request_filter.cpp
+++ b/src/libjujubedrum/engine/request_filter.cpp
@@ -96,8 +96,7 @@
 public:
     std::optional<api_reply> apply(request_context& context) const override
     {
-        return authenticate(context.config, context.job->team(),
-                            context.token);
+        return authenticate(context.config, context.job->team(), context.token);
     }
 };
 
--- a/src/libjujubedrum/engine/task_queue.cpp
+++ b/src/libjujubedrum/engine/task_queue.cpp
@@ -37,8 +37,8 @@
     }
 }
 
-std::optional<team_task> task_queue::front(
-    const std::function<bool(const std::string&)>& eligible) const
+std::optional<team_task>
+task_queue::front(const std::function<bool(const std::string&)>& eligible) const
 {
     const std::pair<const std::string, team_queue>* best = nullptr;
     for (const auto& entry : this->teams)
--- a/src/libjujubedrum/jobs/claim_ledger.hpp
+++ b/src/libjujubedrum/jobs/claim_ledger.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/log_record.hpp"
 #include "base/time.hpp"
 #include "jobs/claim_record.hpp"
 #include "jobs/job_error.hpp"
@@ -41,14 +42,6 @@
     std::size_t max_outstanding = 4;
 };
 
-/// A record as read from the log.
-class log_record
-{
-public:
-    std::uint64_t offset = 0;
-    std::string data;
-};
-
 /// How a claim ended.
 enum class claim_result
 {
--- a/src/libjujubedrum/membership/member_table.cpp
+++ b/src/libjujubedrum/membership/member_table.cpp
@@ -620,7 +620,8 @@
                      peer.owner,
                      peer.last.phase,
                      peer.last.free_slots,
-                     peer.last.queued_tasks};
+                     peer.last.queued_tasks,
+                     peer.revision};
 }
 
 std::vector<peer_view> member_table::peers() const
--- a/src/libjujubedrum/membership/member_table.hpp
+++ b/src/libjujubedrum/membership/member_table.hpp
@@ -31,6 +31,8 @@
     /// As of its last digest.
     std::uint32_t free_slots = 0;
     std::uint32_t queued_tasks = 0;
+    /// Configuration revision that was last heard of; 0 if none.
+    std::uint64_t revision = 0;
 
     bool operator==(const peer_view&) const = default;
 };
--- a/src/libruntime/backend_client.cpp
+++ b/src/libruntime/backend_client.cpp
@@ -86,9 +86,9 @@
                           response.body.find("draining") != std::string::npos;
     const std::string text = "HTTP status " + std::to_string(response.status);
     const bool not_started = response.get_header_value("Task-Started") == "no";
-    task_reply reply = failure(
-        not_started ? send_status::not_started : send_status::task_failed,
-        text);
+    task_reply reply = failure(not_started ? send_status::not_started
+                                           : send_status::task_failed,
+                               text);
     reply.draining = draining;
     return reply;
 }
--- /dev/null
+++ b/src/libruntime/engine_host.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "backend_client.hpp"
+#include "base/bounded_ring.hpp"
+#include "config/settings.hpp"
+#include "engine/dispatch_engine.hpp"
+#include "metrics_registry.hpp"
+#include "peer_transport.hpp"
+#include "platform_link.hpp"
+#include "reply_registry.hpp"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// Runs a dispatch engine on its own thread and carries out its actions on
+/// others: sender threads for backend servers, the platform link, the peers.
+class engine_host
+{
+public:
+    /// \param incarnation random value of this process start, not 0.
+    engine_host(const settings& settings, std::uint64_t incarnation,
+                metrics_registry& metrics);
+    ~engine_host();
+    engine_host(const engine_host&) = delete;
+    engine_host& operator=(const engine_host&) = delete;
+
+    /// Starts the threads.
+    /// \param peers sends calls to peers; must outlive the host.
+    void start(peer_transport& peers);
+    /// Stops and joins the threads.
+    void stop();
+
+    /// Hands an event to the engine. Returns false if the ring is full, after
+    /// which the event has no effect.
+    bool try_post(event next) { return this->events.try_push(std::move(next)); }
+    /// Hands an event to the engine, waiting for space.
+    void post(event next) { this->events.push(std::move(next)); }
+    /// Returns the requests that wait for replies.
+    [[nodiscard]] reply_registry& replies() { return this->waiting; }
+
+    /// Returns the configuration in force.
+    [[nodiscard]] document config() const;
+    /// Returns whether the instance may take jobs.
+    [[nodiscard]] bool ready() const { return this->ready_flag; }
+    /// Returns whether no job and no task is left.
+    [[nodiscard]] bool idle() const { return this->idle_flag; }
+    /// Returns the engine's state dump, taken between two events.
+    [[nodiscard]] std::string dump();
+    /// Returns the engine's short status.
+    [[nodiscard]] std::string status();
+
+    /// Returns the time since the process started, on a monotonic clock.
+    [[nodiscard]] static instant now();
+    /// Returns the time since the Unix epoch.
+    [[nodiscard]] static wall_time wall();
+
+private:
+    /// Time between two ticks of the engine.
+    static constexpr microseconds tick_interval = milliseconds(10);
+    static constexpr std::size_t event_capacity = 16'384;
+    static constexpr std::size_t command_capacity = 8'192;
+
+    using question = std::function<void(dispatch_engine&)>;
+
+    void run_engine();
+    void run_sender();
+    void run_stopper();
+    void step(event next);
+    void carry_out(action next);
+    void answer_questions();
+    void publish_state();
+    std::string ask(const std::function<std::string(dispatch_engine&)>& read);
+
+    void perform(reply_action& next);
+    void perform(ids_action& next);
+    void perform(send_task_action& next);
+    void perform(stop_task_action& next);
+    void perform(call_peer_action& next);
+    void perform(reply_peer_action& next);
+    void perform(append_action& next);
+    void perform(read_action& next);
+    void perform(document_action& next);
+
+    const settings& config_values;
+    metrics_registry& metrics;
+    dispatch_engine engine;
+    reply_registry waiting;
+    backend_client backends;
+    bounded_ring<event> events;
+    bounded_ring<send_task_action> sends;
+    bounded_ring<stop_task_action> stops;
+    bounded_ring<question> questions;
+    platform_link platform;
+    peer_transport* peers = nullptr;
+    std::vector<std::thread> threads;
+    std::atomic<bool> ready_flag = false;
+    std::atomic<bool> idle_flag = true;
+    mutable std::mutex document_mutex;
+    document current_document;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libruntime/http_frontend.cpp
@@ -0,0 +1,322 @@
+#include "http_frontend.hpp"
+
+#include "logging.hpp"
+
+#include <algorithm>
+#include <future>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+/// Largest body accepted; the configured limit of a submission is at most
+/// this.
+constexpr std::size_t max_body_bytes = 8UL * 1024 * 1024;
+
+/// Requests on one connection. High, because a kept connection reaches the
+/// instance that issued the caller's ids.
+constexpr std::size_t max_keep_alive = 1'000'000;
+
+constexpr seconds keep_alive_timeout{30};
+
+/// Time a slow sender gets for the next part of its request.
+constexpr seconds read_timeout{5};
+
+/// Longest wait of a request for an outcome.
+constexpr milliseconds max_wait{60'000};
+
+/// Time beyond the deadline for the engine to end the job.
+constexpr milliseconds reply_margin{500};
+
+std::string bearer_token(const httplib::Request& req)
+{
+    constexpr std::string_view prefix = "Bearer ";
+    const std::string header = req.get_header_value("Authorization");
+    return header.starts_with(prefix) ? header.substr(prefix.size()) : "";
+}
+
+milliseconds query_wait(const httplib::Request& req)
+{
+    const std::string text = req.get_param_value("wait_ms");
+    if (text.empty() || text.size() > 6 ||
+        !std::all_of(text.begin(), text.end(),
+                     [](char c) { return c >= '0' && c <= '9'; }))
+    {
+        return milliseconds(0);
+    }
+    return std::min(milliseconds(std::stol(text)), max_wait);
+}
+
+/// Counts a request while it is served.
+class request_counter
+{
+public:
+    explicit request_counter(std::atomic<std::size_t>& counter)
+        : count(counter)
+    {
+        ++this->count;
+    }
+    ~request_counter() { --this->count; }
+    request_counter(const request_counter&) = delete;
+    request_counter& operator=(const request_counter&) = delete;
+
+private:
+    std::atomic<std::size_t>& count;
+};
+
+} // namespace
+
+http_frontend::http_frontend(const settings& initial, engine_host& engine,
+                             metrics_registry& registry)
+    : config(initial)
+    , host(engine)
+    , metrics(registry)
+    , submission_filters(filter_chain::for_submissions())
+{
+    this->configure();
+    this->add_routes();
+    this->add_admin_routes();
+}
+
+http_frontend::~http_frontend()
+{
+    this->stop();
+}
+
+std::optional<int> http_frontend::start()
+{
+    const std::string& address = this->config.listen_address();
+    int port = this->config.http_port();
+    if (port == 0)
+    {
+        port = this->server.bind_to_any_port(address.c_str());
+    }
+    else if (!this->server.bind_to_port(address.c_str(), port))
+    {
+        port = -1;
+    }
+    if (port < 0)
+    {
+        return std::nullopt;
+    }
+    this->thread = std::thread([this] { this->server.listen_after_bind(); });
+    return port;
+}
+
+void http_frontend::stop()
+{
+    if (!this->thread.joinable())
+    {
+        return;
+    }
+    this->server.stop();
+    this->thread.join();
+}
+
+void http_frontend::configure()
+{
+    const std::size_t threads = this->config.http_threads();
+    this->server.new_task_queue = [threads]
+    { return new httplib::ThreadPool(threads); };
+    this->server.set_tcp_nodelay(true);
+    this->server.set_keep_alive_max_count(max_keep_alive);
+    this->server.set_keep_alive_timeout(keep_alive_timeout.count());
+    this->server.set_read_timeout(read_timeout);
+    this->server.set_write_timeout(read_timeout);
+    this->server.set_payload_max_length(max_body_bytes);
+    this->server.set_post_routing_handler(
+        [this](const request&, response& res)
+        {
+            if (this->draining)
+            {
+                res.set_header("Connection", "close");
+            }
+        });
+}
+
+void http_frontend::add_routes()
+{
+    this->server.Post("/v1/ids", [this](const request& req, response& res)
+                      { this->post_ids(req, res); });
+    this->server.Post("/v1/jobs", [this](const request& req, response& res)
+                      { this->post_job(req, res); });
+    this->server.Get("/v1/jobs/([^/]+)",
+                     [this](const request& req, response& res)
+                     { this->get_job(req, res); });
+    this->server.Delete("/v1/jobs/([^/]+)",
+                        [this](const request& req, response& res)
+                        { this->delete_job(req, res); });
+}
+
+void http_frontend::add_admin_routes()
+{
+    this->server.Get("/v1/admin/status", [this](const request&, response& res)
+                     { this->write_json(res, 200, this->host.status()); });
+    this->server.Get("/v1/admin/dump", [this](const request&, response& res)
+                     { this->write_json(res, 200, this->host.dump()); });
+    this->server.Get("/metrics",
+                     [this](const request&, response& res) {
+                         res.set_content(this->metrics.text(),
+                                         "text/plain; version=0.0.4");
+                     });
+    this->server.Get("/healthz", [](const request&, response& res)
+                     { res.set_content("ok\n", "text/plain"); });
+    this->server.Get(
+        "/readyz",
+        [this](const request&, response& res)
+        {
+            const bool ready = this->host.ready() && !this->draining;
+            res.status = ready ? 200 : 503;
+            res.set_content(ready ? "ready\n" : "not ready\n", "text/plain");
+        });
+}
+
+void http_frontend::post_ids(const request& req, response& res)
+{
+    const request_counter counted(this->requests);
+    if (!team_of(this->host.config(), bearer_token(req)))
+    {
+        this->write_error(res, 401, "unknown_token", "the token is unknown");
+        return;
+    }
+    const auto body = nlohmann::json::parse(req.body, nullptr, false);
+    std::uint64_t count = 1;
+    if (body.is_object() && body.contains("count") &&
+        body["count"].is_number_unsigned())
+    {
+        count = body["count"].get<std::uint64_t>();
+    }
+    else if (!req.body.empty())
+    {
+        this->write_error(res, 400, "malformed",
+                          "/count: a whole number from 1 to 4096 is expected");
+        return;
+    }
+    bool full = false;
+    const auto reply = this->ask(ids_event{0, count}, max_wait, full);
+    const auto* block = reply ? std::get_if<id_block>(&*reply) : nullptr;
+    if (block == nullptr)
+    {
+        this->write_error(res, 503, "overloaded", "try again");
+        return;
+    }
+    this->write_json(res, 200, block->to_json());
+}
+
+void http_frontend::post_job(const request& req, response& res)
+{
+    const request_counter counted(this->requests);
+    request_context context{
+        this->host.config(), bearer_token(req), req.body, {}, microseconds(0)};
+    if (const auto refused = this->submission_filters.apply(context))
+    {
+        this->write(res, *refused);
+        return;
+    }
+    const std::string id = context.job->id();
+    if (!this->host.ready())
+    {
+        this->write(res, api_reply(id, outcome::not_run(
+                                           outcome_reason::overloaded,
+                                           "the instance is starting", true)));
+        return;
+    }
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(context.remaining);
+    const milliseconds wait =
+        std::min(context.job->wait().value_or(left + reply_margin), max_wait);
+    submit_event next;
+    next.job = std::move(*context.job);
+    next.remaining = context.remaining;
+    bool full = false;
+    const auto reply = this->ask(std::move(next), wait, full);
+    if (const auto* answer = reply ? std::get_if<api_reply>(&*reply) : nullptr)
+    {
+        this->write(res, *answer);
+        return;
+    }
+    this->write(res, api_reply(id, full ? outcome::not_run(
+                                              outcome_reason::overloaded,
+                                              "the event ring is full", true)
+                                        : outcome::in_progress()));
+}
+
+void http_frontend::get_job(const request& req, response& res)
+{
+    this->about_job<collect_event>(req, res, query_wait(req));
+}
+
+void http_frontend::delete_job(const request& req, response& res)
+{
+    this->about_job<cancel_event>(req, res, max_wait);
+}
+
+template <typename Event>
+void http_frontend::about_job(const request& req, response& res,
+                              milliseconds wait)
+{
+    const request_counter counted(this->requests);
+    const auto team = team_of(this->host.config(), bearer_token(req));
+    if (!team)
+    {
+        this->write_error(res, 401, "unknown_token", "the token is unknown");
+        return;
+    }
+    const std::string id = req.matches[1];
+    bool full = false;
+    // A question needs time to reach the engine, or a peer and back, even if
+    // the caller does not want to wait for the outcome.
+    constexpr milliseconds shortest{250};
+    const auto reply =
+        this->ask(Event{0, id, *team, 0}, std::max(wait, shortest), full);
+    if (const auto* answer = reply ? std::get_if<api_reply>(&*reply) : nullptr)
+    {
+        this->write(res, *answer);
+        return;
+    }
+    this->write(res, api_reply(id, outcome::in_progress()));
+}
+
+template <typename Event>
+std::optional<engine_reply> http_frontend::ask(Event next, milliseconds wait,
+                                               bool& full)
+{
+    const auto answer = std::make_shared<std::promise<engine_reply>>();
+    auto result = answer->get_future();
+    next.token = this->host.replies().add(
+        [answer](engine_reply reply) { answer->set_value(std::move(reply)); });
+    const request_token token = next.token;
+    full = !this->host.try_post(std::move(next));
+    if (full || result.wait_for(wait) != std::future_status::ready)
+    {
+        this->host.replies().remove(token);
+        return std::nullopt;
+    }
+    return result.get();
+}
+
+void http_frontend::write(response& res, const api_reply& reply) const
+{
+    this->write_json(res, reply.status(), reply.body());
+}
+
+void http_frontend::write_json(response& res, int status,
+                               const std::string& body) const
+{
+    res.status = status;
+    res.set_content(body, "application/json");
+}
+
+void http_frontend::write_error(response& res, int status,
+                                const std::string& code,
+                                const std::string& text) const
+{
+    this->write(res, api_reply(api_error{status, code, text}));
+}
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libruntime/http_frontend.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "config/settings.hpp"
+#include "engine/request_filter.hpp"
+#include "engine_host.hpp"
+#include "metrics_registry.hpp"
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include <httplib.h>
+
+namespace jujubedrum
+{
+
+/// The HTTP interface of an entry instance for callers and operators.
+class http_frontend
+{
+public:
+    http_frontend(const settings& settings, engine_host& host,
+                  metrics_registry& metrics);
+    ~http_frontend();
+    http_frontend(const http_frontend&) = delete;
+    http_frontend& operator=(const http_frontend&) = delete;
+
+    /// Starts to serve. Returns the port, or nothing if it cannot listen.
+    std::optional<int> start();
+    /// Answers every request with `Connection: close` from now on.
+    void drain() { this->draining = true; }
+    /// Returns the number of requests being served.
+    [[nodiscard]] std::size_t active() const { return this->requests; }
+    /// Ends requests in progress, then stops.
+    void stop();
+
+private:
+    using request = httplib::Request;
+    using response = httplib::Response;
+
+    void configure();
+    void add_routes();
+    void add_admin_routes();
+    void post_ids(const request& req, response& res);
+    void post_job(const request& req, response& res);
+    void get_job(const request& req, response& res);
+    void delete_job(const request& req, response& res);
+    template <typename Event>
+    void about_job(const request& req, response& res, milliseconds wait);
+    /// Hands an event to the engine and waits for the reply. Returns nothing
+    /// after the wait.
+    template <typename Event>
+    std::optional<engine_reply> ask(Event next, milliseconds wait, bool& full);
+    void write(response& res, const api_reply& reply) const;
+    void write_json(response& res, int status, const std::string& body) const;
+    void write_error(response& res, int status, const std::string& code,
+                     const std::string& text) const;
+
+    const settings& config;
+    engine_host& host;
+    metrics_registry& metrics;
+    filter_chain submission_filters;
+    httplib::Server server;
+    std::thread thread;
+    std::atomic<bool> draining = false;
+    std::atomic<std::size_t> requests = 0;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libruntime/metrics_registry.cpp
@@ -0,0 +1,91 @@
+#include "metrics_registry.hpp"
+
+#include <sstream>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+namespace acc = boost::accumulators;
+
+constexpr std::array<double, 4> quantiles{0.5, 0.9, 0.99, 0.999};
+
+} // namespace
+
+metrics_registry::metrics_registry()
+    : ratio(acc::extended_p_square_probabilities = quantiles)
+{
+}
+
+void metrics_registry::on_task_started()
+{
+    const std::lock_guard lock(this->mutex);
+    ++this->task_starts;
+}
+
+void metrics_registry::on_message(message_cause cause, std::uint64_t count)
+{
+    const std::lock_guard lock(this->mutex);
+    this->messages.at(static_cast<std::size_t>(cause)) += count;
+}
+
+void metrics_registry::on_job_finished(std::string_view outcome,
+                                       double response_over_ideal)
+{
+    const std::lock_guard lock(this->mutex);
+    ++this->jobs[std::string(outcome)];
+    if (response_over_ideal > 0)
+    {
+        this->ratio(response_over_ideal);
+    }
+}
+
+void metrics_registry::set_gauge(const std::string& name, double value)
+{
+    const std::lock_guard lock(this->mutex);
+    this->gauges[name] = value;
+}
+
+std::string metrics_registry::text() const
+{
+    const std::lock_guard lock(this->mutex);
+    std::ostringstream out;
+    out << "# TYPE jujubedrum_task_starts_total counter\n"
+        << "jujubedrum_task_starts_total " << this->task_starts << "\n"
+        << "# TYPE jujubedrum_wasted_messages_total counter\n";
+    for (std::size_t i = 0; i < cause_count; ++i)
+    {
+        out << "jujubedrum_wasted_messages_total{cause=\""
+            << to_string(static_cast<message_cause>(i)) << "\"} "
+            << this->messages.at(i) << "\n";
+    }
+    out << "# TYPE jujubedrum_jobs_total counter\n";
+    for (const auto& [outcome, count] : this->jobs)
+    {
+        out << "jujubedrum_jobs_total{outcome=\"" << outcome << "\"} " << count
+            << "\n";
+    }
+    out << "# TYPE jujubedrum_response_over_ideal summary\n";
+    if (acc::count(this->ratio) > 0)
+    {
+        for (const double q : quantiles)
+        {
+            out << "jujubedrum_response_over_ideal{quantile=\"" << q << "\"} "
+                << acc::quantile(this->ratio, acc::quantile_probability = q)
+                << "\n";
+        }
+    }
+    out << "jujubedrum_response_over_ideal_sum " << acc::sum(this->ratio)
+        << "\njujubedrum_response_over_ideal_count " << acc::count(this->ratio)
+        << "\n";
+    for (const auto& [name, value] : this->gauges)
+    {
+        out << "# TYPE jujubedrum_" << name << " gauge\njujubedrum_" << name
+            << " " << value << "\n";
+    }
+    return out.str();
+}
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libruntime/platform_link.cpp
@@ -0,0 +1,265 @@
+#include "platform_link.hpp"
+
+#include "engine/config_controller.hpp"
+#include "logging.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+/// Pause after a failed read; doubles up to the longest.
+constexpr milliseconds first_pause{100};
+constexpr milliseconds longest_pause{2000};
+
+instance_role role_of(const std::string& text)
+{
+    return text == "backend" ? instance_role::backend : instance_role::entry;
+}
+
+listed_state state_of(const std::string& text)
+{
+    if (text == "leaving")
+    {
+        return listed_state::leaving;
+    }
+    return text == "gone" ? listed_state::gone : listed_state::live;
+}
+
+instance_page to_instance_page(const list_page& page)
+{
+    instance_page result;
+    result.version = page.version;
+    result.full = page.full;
+    for (const instance_change& change : page.changes)
+    {
+        instance_info info;
+        info.name = change.name;
+        info.role = role_of(change.role);
+        info.domain = change.domain;
+        info.region = change.region;
+        info.address = change.address;
+        info.port = change.port;
+        info.rpc_port = change.rpc_port;
+        info.weight = change.weight;
+        info.slots = change.slots;
+        info.memory_mb = change.memory_mb;
+        info.state = state_of(change.state);
+        result.changes.push_back(std::move(info));
+    }
+    return result;
+}
+
+records_event to_event(const std::string& stream, std::uint64_t from,
+                       records_page page, std::size_t page_size)
+{
+    records_event event;
+    event.stream = stream;
+    event.from = from;
+    event.first_retained = page.first_retained;
+    event.next = page.next;
+    event.at_end = page.records.size() < page_size;
+    event.records = std::move(page.records);
+    return event;
+}
+
+} // namespace
+
+platform_link::platform_link(const settings& initial, clock_function time,
+                             post_function deliver)
+    : config(initial)
+    , clock(std::move(time))
+    , post(std::move(deliver))
+    , commands(ring_capacity)
+    , config_client(this->make_client())
+    , list_client(this->make_client())
+{
+    for (std::size_t i = 0; i < log_threads; ++i)
+    {
+        this->log_clients.push_back(this->make_client());
+    }
+}
+
+platform_link::~platform_link()
+{
+    this->stop();
+}
+
+void platform_link::start()
+{
+    this->threads.emplace_back([this] { this->read_config(); });
+    this->threads.emplace_back([this] { this->read_list(); });
+    for (const auto& client : this->log_clients)
+    {
+        this->threads.emplace_back([this, &client]
+                                   { this->serve_log(*client); });
+    }
+}
+
+void platform_link::stop()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->stopping = true;
+        this->wake.notify_all();
+    }
+    this->commands.close();
+    this->config_client->stop();
+    this->list_client->stop();
+    for (const auto& client : this->log_clients)
+    {
+        client->stop();
+    }
+    for (std::thread& thread : this->threads)
+    {
+        thread.join();
+    }
+    this->threads.clear();
+}
+
+void platform_link::submit(command next)
+{
+    if (this->commands.try_push(next))
+    {
+        return;
+    }
+    if (const auto* append = std::get_if<append_action>(&next))
+    {
+        this->post(append_event{append->stream, append->nonce, {}, true});
+        return;
+    }
+    this->post(read_failed_event{std::get<read_action>(next).stream});
+}
+
+void platform_link::read_config()
+{
+    std::uint64_t next = 0;
+    milliseconds pause_time = first_pause;
+    bool failing = false;
+    for (;;)
+    {
+        platform_reason why;
+        auto page = this->config_client->read(
+            config_controller::stream, next, page_records,
+            this->config.tunables().config_poll_wait, why);
+        if (!page)
+        {
+            if (!std::exchange(failing, true))
+            {
+                LOG(WARNING) << "config: cannot read the log; reason=\""
+                             << why.message() << "\"";
+            }
+            this->post(read_failed_event{config_controller::stream});
+            if (!this->pause(pause_time))
+            {
+                return;
+            }
+            pause_time = std::min(pause_time * 2, longest_pause);
+            continue;
+        }
+        if (std::exchange(failing, false))
+        {
+            LOG(INFO) << "config: the log can be read again";
+        }
+        pause_time = first_pause;
+        const std::uint64_t from = next;
+        next = std::max(next, page->next);
+        this->post(to_event(config_controller::stream, from, std::move(*page),
+                            page_records));
+        if (!this->pause(milliseconds(0)))
+        {
+            return;
+        }
+    }
+}
+
+void platform_link::read_list()
+{
+    std::uint64_t version = 0;
+    bool failing = false;
+    do
+    {
+        platform_reason why;
+        const instant asked_at = this->clock();
+        const auto page = this->list_client->instances(version, why);
+        if (page)
+        {
+            version = std::max(version, page->version);
+            this->post(list_event{to_instance_page(*page), asked_at});
+        }
+        if (failing != !page.has_value())
+        {
+            failing = !page.has_value();
+            LOG(INFO) << "members: the platform's list "
+                      << (failing ? "cannot be read" : "can be read again")
+                      << "; reason=\"" << why.message() << "\"";
+        }
+    } while (this->pause(this->config.tunables().list_poll_interval));
+}
+
+void platform_link::serve_log(platform_client& client)
+{
+    while (!this->commands.is_closed())
+    {
+        const auto next = this->commands.pop(seconds(1));
+        if (!next)
+        {
+            continue;
+        }
+        if (const auto* append_command = std::get_if<append_action>(&*next))
+        {
+            this->append(client, *append_command);
+        }
+        else
+        {
+            this->read(client, std::get<read_action>(*next));
+        }
+    }
+}
+
+void platform_link::append(platform_client& client, const append_action& action)
+{
+    platform_reason why;
+    append_event result;
+    result.stream = action.stream;
+    result.nonce = action.nonce;
+    result.offset = client.append(action.stream, action.record, why);
+    result.not_written =
+        !result.offset && (why.code() == platform_error::unreachable ||
+                           why.code() == platform_error::refused);
+    this->post(std::move(result));
+}
+
+void platform_link::read(platform_client& client, const read_action& action)
+{
+    platform_reason why;
+    auto page = client.read(action.stream, action.from, page_records,
+                            milliseconds(0), why);
+    if (!page)
+    {
+        this->post(read_failed_event{action.stream});
+        return;
+    }
+    this->post(
+        to_event(action.stream, action.from, std::move(*page), page_records));
+}
+
+bool platform_link::pause(milliseconds time)
+{
+    std::unique_lock lock(this->mutex);
+    this->wake.wait_for(lock, time, [this] { return this->stopping; });
+    return !this->stopping;
+}
+
+std::unique_ptr<platform_client> platform_link::make_client() const
+{
+    return std::make_unique<platform_client>(
+        this->config.platform_address(), this->config.platform_port(),
+        this->config.tunables().connect_timeout);
+}
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libruntime/platform_link.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "base/bounded_ring.hpp"
+#include "base/time.hpp"
+#include "config/settings.hpp"
+#include "engine/events.hpp"
+#include "platform_client.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// Threads between the engine and the platform: one reads stream `config`,
+/// one reads the list of instances, a few append to and read the log for the
+/// engine.
+class platform_link
+{
+public:
+    using post_function = std::function<void(event)>;
+    using clock_function = std::function<instant()>;
+
+    /// \param post delivers events to the engine; may block.
+    platform_link(const settings& settings, clock_function clock,
+                  post_function post);
+    ~platform_link();
+    platform_link(const platform_link&) = delete;
+    platform_link& operator=(const platform_link&) = delete;
+
+    /// Starts the threads.
+    void start();
+    /// Stops and joins the threads.
+    void stop();
+    /// Queues an append or a read. Ends it as failed if the ring is full.
+    void submit(std::variant<append_action, read_action> command);
+
+private:
+    using command = std::variant<append_action, read_action>;
+
+    /// Records of a page. Large enough to read a restarted stream quickly.
+    static constexpr std::size_t page_records = 500;
+    static constexpr std::size_t log_threads = 4;
+    static constexpr std::size_t ring_capacity = 1024;
+
+    void read_config();
+    void read_list();
+    void serve_log(platform_client& client);
+    void append(platform_client& client, const append_action& action);
+    void read(platform_client& client, const read_action& action);
+    bool pause(milliseconds time);
+    [[nodiscard]] std::unique_ptr<platform_client> make_client() const;
+
+    const settings& config;
+    clock_function clock;
+    post_function post;
+    bounded_ring<command> commands;
+    std::unique_ptr<platform_client> config_client;
+    std::unique_ptr<platform_client> list_client;
+    std::vector<std::unique_ptr<platform_client>> log_clients;
+    std::vector<std::thread> threads;
+    std::mutex mutex;
+    std::condition_variable wake;
+    bool stopping = false;
+};
+
+} // namespace jujubedrum
--- a/src/libruntime/platform_types.hpp
+++ b/src/libruntime/platform_types.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/log_record.hpp"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -7,14 +9,6 @@
 namespace jujubedrum
 {
 
-/// One record of a stream of the platform's log.
-struct log_record
-{
-    std::uint64_t offset = 0;
-    std::string data;
-    bool operator==(const log_record&) const = default;
-};
-
 /// Reply to a read of a stream.
 struct records_page
 {
