--- /dev/null
+++ b/src/jujubedrumctl/answer_command.cpp
@@ -0,0 +1,29 @@
+#include "answer_command.hpp"
+
+#include "entry_options.hpp"
+#include "job_calls.hpp"
+#include "output.hpp"
+
+namespace jujubedrum
+{
+
+std::vector<option_spec> answer_command::options() const
+{
+    return entry_options("30000");
+}
+
+exit_code answer_command::run(const command_line& line)
+{
+    std::string error;
+    auto client = open_entry(line, error);
+    if (!client || !is_job_id(line.operand(0)))
+    {
+        return print_error(line, exit_code::usage, "",
+                           client ? "not a job id" : error);
+    }
+    job_calls calls(*client,
+                    std::chrono::milliseconds(line.number("deadline-ms")));
+    return calls.collect(line, line.operand(0));
+}
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/jujubedrumctl/cancel_command.cpp
@@ -0,0 +1,41 @@
+#include "cancel_command.hpp"
+
+#include "entry_options.hpp"
+#include "job_calls.hpp"
+#include "output.hpp"
+
+namespace jujubedrum
+{
+
+std::vector<option_spec> cancel_command::options() const
+{
+    return entry_options("10000");
+}
+
+exit_code cancel_command::run(const command_line& line)
+{
+    std::string error;
+    auto client = open_entry(line, error);
+    if (!client || !is_job_id(line.operand(0)))
+    {
+        return print_error(line, exit_code::usage, "",
+                           client ? "not a job id" : error);
+    }
+    job_calls calls(*client,
+                    std::chrono::milliseconds(line.number("deadline-ms")));
+    entry_reason why;
+    const auto reply =
+        calls.call("DELETE", "/v1/jobs/" + line.operand(0), "", why);
+    if (!reply)
+    {
+        return print_error(line,
+                           calls.lost_reply() ? exit_code::in_progress
+                                              : exit_code::unreachable,
+                           why);
+    }
+    print_reply(line, *reply);
+    // The cancellation itself succeeded, whatever the outcome of the job.
+    return reply->status / 100 == 2 ? exit_code::success : outcome_code(*reply);
+}
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/jujubedrumctl/option_spec.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+
+namespace jujubedrum
+{
+
+/// Declares an option of a command.
+struct option_spec
+{
+    /// What follows the option on the command line.
+    enum class kind
+    {
+        flag,
+        text,
+        number,
+    };
+
+    std::string name{};
+    kind type = kind::flag;
+    std::string placeholder{};
+    std::string help{};
+    /// Value if the option is absent; empty for none.
+    std::string fallback{};
+    bool required = false;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/jujubedrumctl/platform_options.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "command_line.hpp"
+#include "endpoint.hpp"
+#include "option_spec.hpp"
+
+#include <string>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// Returns the options of commands that read the platform's log: "platform",
+/// "admin-public-key" and "deadline-ms", in this order.
+[[nodiscard]] std::vector<option_spec> platform_options();
+
+/// Returns whether the administrator's key is absent or 64 hex digits.
+[[nodiscard]] bool is_admin_key(const command_line& line);
+
+/// Returns the message for a wrong endpoint or a wrong key.
+[[nodiscard]] std::string platform_usage(bool endpoint_valid);
+
+} // namespace jujubedrum
--- a/src/libjujubedrum/config/document.cpp
+++ b/src/libjujubedrum/config/document.cpp
@@ -57,7 +57,10 @@
     std::string separator = "\n";
     for (const std::string& name : this->team_names())
     {
-        text += separator + "\"" + name + "\": ";
+        text += separator;
+        text += "\"";
+        text += name;
+        text += "\": ";
         text += this->section_text(std::string(team_prefix) + name);
         separator = ",\n";
     }
