--- a/src/jujubedrumctl/publish_command.cpp
+++ b/src/jujubedrumctl/publish_command.cpp
@@ -62,8 +62,13 @@
     result["section"] = section;
     result["edit_id"] = edit.edit_id();
     result["base"] = edit.base();
-    result["revision"] = log.fold().document().section_revision(section);
-    if (report.verdict == edit_verdict::accepted)
+    // Another edit may already have followed the accepted one. An edit known
+    // from a snapshot only has no offset.
+    const bool accepted = report.verdict == edit_verdict::accepted;
+    result["revision"] = accepted && report.offset > 0
+                             ? report.offset + 1
+                             : log.fold().document().section_revision(section);
+    if (accepted)
     {
         print_result(line, result);
         return exit_code::success;
