Add a model that compares placement policies with perfect knowledge

The model replays one schedule with a dispatcher that knows every slot and with the placement classes of each instance, and counts one-way messages.

--- a/src/jujubedrum-load/main.cpp
+++ b/src/jujubedrum-load/main.cpp
@@ -1,4 +1,14 @@
-int main()
+#include "model_command.hpp"
+
+#include <iostream>
+#include <string_view>
+
+int main(int argc, char** argv)
 {
-    return 0;
+    if (argc > 1 && std::string_view(argv[1]) == "model")
+    {
+        return jujubedrum::run_model_command(argc - 1, argv + 1);
+    }
+    std::cerr << "usage: jujubedrum-load model [options]\n";
+    return 2;
 }
--- /dev/null
+++ b/src/jujubedrum-load/model_cluster.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/time.hpp"
+#include "model_options.hpp"
+#include "placement/backend_server.hpp"
+#include "placement/entry_instance.hpp"
+
+#include <cstddef>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// Servers with their speeds, entry instances and delays of the model.
+class model_cluster
+{
+public:
+    explicit model_cluster(const model_options& options);
+
+    [[nodiscard]] const std::vector<backend_server>& servers() const
+    {
+        return this->descriptions;
+    }
+    [[nodiscard]] const std::vector<entry_instance>& entries() const
+    {
+        return this->instances;
+    }
+    /// Returns the run time relative to a fastest server, at least 1.
+    [[nodiscard]] double slowness(std::size_t server, instant now) const;
+    /// Returns the work done in a second by all servers, in seconds on a
+    /// fastest server; stragglers are not considered.
+    [[nodiscard]] double capacity() const;
+    /// Returns the one-way delay between two domains.
+    [[nodiscard]] microseconds delay(const std::string& from,
+                                     const std::string& to) const;
+
+private:
+    [[nodiscard]] bool straggles(std::size_t server, instant now) const;
+
+    std::vector<backend_server> descriptions;
+    std::vector<entry_instance> instances;
+    std::vector<double> slowness_values;
+    std::size_t stragglers;
+    double straggle_factor;
+    microseconds straggle_period;
+    microseconds domain_delay;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/jujubedrum-load/policy_model.cpp
@@ -0,0 +1,445 @@
+#include "policy_model.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+constexpr microseconds tick_interval = milliseconds(100);
+
+/// Hedges are at most this share of the starts of an instance.
+constexpr double hedge_budget = 0.1;
+
+/// Pause before an overdue task that found no free slot is looked at again.
+constexpr microseconds hedge_pause = milliseconds(50);
+
+} // namespace
+
+policy_model::policy_model(const model_options& options,
+                           const model_cluster& cluster,
+                           const arrival_schedule& schedule,
+                           std::string policy_name)
+    : options(options)
+    , cluster(cluster)
+    , schedule(schedule)
+    , servers(cluster.servers().size())
+    , jobs_left(schedule.jobs().size())
+{
+    this->result.policy = policy_name;
+    this->result.tasks = schedule.tasks();
+    for (std::size_t i = 0; i < options.instances; ++i)
+    {
+        this->instances.push_back(
+            std::make_unique<model_instance>(options, cluster, i, policy_name));
+    }
+    for (const arriving_job& job : schedule.jobs())
+    {
+        this->left.push_back(job.tasks.size());
+    }
+    this->tasks.reserve(schedule.tasks());
+}
+
+model_result policy_model::run()
+{
+    this->loop.at(this->schedule.jobs().front().at,
+                  [this] { this->arrive(0); });
+    for (std::size_t i = 0; i < this->instances.size(); ++i)
+    {
+        // Spread over the interval, as instances start at different times.
+        const auto offset = static_cast<microseconds::rep>(i + 1);
+        const auto size =
+            static_cast<microseconds::rep>(this->instances.size());
+        this->loop.at(tick_interval * offset / size,
+                      [this, i] { this->tick(i); });
+        this->loop.at(this->options.heartbeat * offset / size,
+                      [this, i] { this->heartbeat(i); });
+    }
+    this->loop.run();
+    this->result.all = latency_summary(std::move(this->ratios));
+    this->result.repeatable =
+        latency_summary(std::move(this->repeatable_ratios));
+    return this->result;
+}
+
+void policy_model::count(const std::string& cause, std::size_t messages)
+{
+    this->result.messages[cause] += messages;
+}
+
+void policy_model::arrive(std::size_t job)
+{
+    const arriving_job& arrival = this->schedule.jobs()[job];
+    model_instance& at = *this->instances[arrival.instance];
+    std::vector<std::size_t> numbers;
+    for (const arriving_task& task : arrival.tasks)
+    {
+        numbers.push_back(this->tasks.size());
+        this->tasks.push_back({job, &task, arrival.instance, false, false, {}});
+    }
+    if (this->options.longest_first)
+    {
+        this->sort_longest_first(numbers, at);
+    }
+    at.waiting.insert(at.waiting.end(), numbers.begin(), numbers.end());
+    this->dispatch(arrival.instance);
+    if (job + 1 < this->schedule.jobs().size())
+    {
+        this->loop.at(this->schedule.jobs()[job + 1].at,
+                      [this, job] { this->arrive(job + 1); });
+    }
+}
+
+void policy_model::sort_longest_first(std::vector<std::size_t>& numbers,
+                                      const model_instance& at) const
+{
+    const auto expected = [&](std::size_t number)
+    {
+        const arriving_task& task = *this->tasks[number].task;
+        return at.stats.reference(task.kind, task.declared);
+    };
+    std::stable_sort(numbers.begin(), numbers.end(),
+                     [&](std::size_t a, std::size_t b)
+                     { return expected(a) > expected(b); });
+}
+
+task_demand policy_model::demand(const task_state& task) const
+{
+    return {task.task->kind, 1, task.task->declared,
+            this->schedule.jobs()[task.job].repeatable};
+}
+
+void policy_model::dispatch(std::size_t instance)
+{
+    model_instance& at = *this->instances[instance];
+    while (!at.waiting.empty())
+    {
+        const std::size_t task = at.waiting.front();
+        const auto choice = at.policy->pick(this->demand(this->tasks[task]), "",
+                                            this->loop.now());
+        if (!choice)
+        {
+            break;
+        }
+        at.waiting.pop_front();
+        ++at.started;
+        this->start(task, *choice);
+    }
+    this->borrow(instance);
+}
+
+void policy_model::borrow(std::size_t instance)
+{
+    model_instance& at = *this->instances[instance];
+    if (!at.book)
+    {
+        return;
+    }
+    const auto plan =
+        at.book->plan_request(at.waiting.size(), this->loop.now());
+    if (!plan)
+    {
+        return;
+    }
+    this->count("borrow", 2);
+    this->loop.at(
+        this->loop.now() +
+            this->peer_delay(instance, this->instance_of(plan->lender)),
+        [this, instance, plan = *plan] { this->lend(instance, plan); });
+}
+
+void policy_model::lend(std::size_t borrower, const planned_request& plan)
+{
+    const std::size_t lender = this->instance_of(plan.lender);
+    borrow_reply reply =
+        this->instances[lender]->book->lend(plan.request, this->loop.now());
+    this->loop.at(this->loop.now() + this->peer_delay(lender, borrower),
+                  [this, borrower, reply = std::move(reply)]
+                  {
+                      this->instances[borrower]->book->on_reply(
+                          reply, this->loop.now());
+                      this->dispatch(borrower);
+                  });
+}
+
+microseconds policy_model::server_delay(const task_copy& copy) const
+{
+    return this->cluster.delay(
+        this->instances[this->tasks[copy.task].instance]->entry().domain,
+        this->cluster.servers()[copy.server].domain());
+}
+
+microseconds policy_model::peer_delay(std::size_t from, std::size_t to) const
+{
+    return this->cluster.delay(this->instances[from]->entry().domain,
+                               this->instances[to]->entry().domain);
+}
+
+std::size_t policy_model::instance_of(const std::string& name) const
+{
+    const auto& entries = this->cluster.entries();
+    return static_cast<std::size_t>(
+        std::find_if(entries.begin(), entries.end(),
+                     [&](const auto& entry) { return entry.name == name; }) -
+        entries.begin());
+}
+
+void policy_model::start(std::size_t task, const slot_choice& choice)
+{
+    const auto& list = this->cluster.servers();
+    const auto server = static_cast<std::size_t>(
+        std::find_if(list.begin(), list.end(),
+                     [&](const auto& candidate)
+                     { return candidate.name() == choice.server; }) -
+        list.begin());
+    const std::size_t copy = this->copies.size();
+    const instant now = this->loop.now();
+    this->copies.push_back({task, server, choice, now, false, false});
+    this->tasks[task].copies.push_back(copy);
+    model_instance& at = *this->instances[this->tasks[task].instance];
+    at.policy->started(choice, now);
+    this->loop.at(now + this->server_delay(this->copies[copy]),
+                  [this, copy] { this->server_receive(copy); });
+    const task_demand demand = this->demand(this->tasks[task]);
+    if (this->options.hedge && demand.repeatable &&
+        at.policy->uses_owned_slots())
+    {
+        this->loop.at(now + at.stats.run_time_bound(choice.server, demand.kind,
+                                                    demand.declared),
+                      [this, copy] { this->check_overdue(copy); });
+    }
+}
+
+void policy_model::server_receive(std::size_t copy)
+{
+    const std::size_t number = this->copies[copy].server;
+    model_server& server = this->servers[number];
+    if (this->copies[copy].ended)
+    {
+        return;
+    }
+    if (server.running == this->cluster.servers()[number].slots())
+    {
+        server.queue.push_back(copy);
+        return;
+    }
+    this->server_begin(copy);
+}
+
+void policy_model::server_begin(std::size_t copy)
+{
+    task_copy& started = this->copies[copy];
+    ++this->servers[started.server].running;
+    started.running = true;
+    const instant now = this->loop.now();
+    const auto work = this->tasks[started.task].task->work;
+    const microseconds run_time(
+        static_cast<std::int64_t>(static_cast<double>(work.count()) *
+                                  this->cluster.slowness(started.server, now)));
+    this->loop.at(now + run_time, [this, copy] { this->server_end(copy); });
+}
+
+void policy_model::release(std::size_t copy)
+{
+    task_copy& ended = this->copies[copy];
+    model_server& server = this->servers[ended.server];
+    ended.ended = true;
+    if (ended.running)
+    {
+        ended.running = false;
+        --server.running;
+    }
+    else
+    {
+        std::erase(server.queue, copy);
+    }
+    if (!server.queue.empty() &&
+        server.running < this->cluster.servers()[ended.server].slots())
+    {
+        const std::size_t next = server.queue.front();
+        server.queue.pop_front();
+        this->server_begin(next);
+    }
+}
+
+void policy_model::server_end(std::size_t copy)
+{
+    if (this->copies[copy].ended)
+    {
+        return;
+    }
+    this->release(copy);
+    this->loop.at(this->loop.now() + this->server_delay(this->copies[copy]),
+                  [this, copy] { this->on_answer(copy); });
+}
+
+void policy_model::server_stop(std::size_t copy)
+{
+    if (this->copies[copy].ended)
+    {
+        return;
+    }
+    this->release(copy);
+    this->loop.at(this->loop.now() + this->server_delay(this->copies[copy]),
+                  [this, copy]
+                  {
+                      const std::size_t instance =
+                          this->tasks[this->copies[copy].task].instance;
+                      this->instances[instance]->policy->finished(
+                          this->copies[copy].choice, this->loop.now());
+                      this->dispatch(instance);
+                  });
+}
+
+void policy_model::on_answer(std::size_t copy)
+{
+    const task_copy& answered = this->copies[copy];
+    const std::size_t task = answered.task;
+    const std::size_t instance = this->tasks[task].instance;
+    model_instance& at = *this->instances[instance];
+    const instant now = this->loop.now();
+    at.stats.on_finished(answered.choice.server, this->tasks[task].task->kind,
+                         this->tasks[task].task->declared,
+                         now - answered.sent_at, now);
+    at.policy->finished(answered.choice, now);
+    if (!this->tasks[task].done)
+    {
+        this->finish_task(task, copy);
+    }
+    this->dispatch(instance);
+}
+
+void policy_model::finish_task(std::size_t task, std::size_t copy)
+{
+    task_state& state = this->tasks[task];
+    state.done = true;
+    for (const std::size_t other : state.copies)
+    {
+        if (other != copy && !this->copies[other].ended)
+        {
+            this->count("stop", 2);
+            this->loop.at(this->loop.now() +
+                              this->server_delay(this->copies[other]),
+                          [this, other] { this->server_stop(other); });
+        }
+    }
+    if (--this->left[state.job] > 0)
+    {
+        return;
+    }
+    --this->jobs_left;
+    const arriving_job& job = this->schedule.jobs()[state.job];
+    if (!this->schedule.measured(state.job))
+    {
+        return;
+    }
+    const double ratio =
+        static_cast<double>((this->loop.now() - job.at).count()) /
+        static_cast<double>(job.ideal().count());
+    this->ratios.push_back(ratio);
+    if (job.repeatable)
+    {
+        this->repeatable_ratios.push_back(ratio);
+    }
+}
+
+void policy_model::check_overdue(std::size_t copy)
+{
+    const task_copy& overdue = this->copies[copy];
+    const std::size_t number = overdue.task;
+    if (overdue.ended || this->tasks[number].done || this->tasks[number].hedged)
+    {
+        return;
+    }
+    model_instance& at = *this->instances[this->tasks[number].instance];
+    const instant now = this->loop.now();
+    const task_demand demand = this->demand(this->tasks[number]);
+    at.stats.on_overdue(overdue.choice.server, demand.kind, demand.declared,
+                        now - overdue.sent_at);
+    const bool within_budget = static_cast<double>(at.hedged + 1) <=
+                               static_cast<double>(at.started) * hedge_budget;
+    const auto choice =
+        within_budget ? at.policy->pick(demand, overdue.choice.server, now)
+                      : std::nullopt;
+    if (!choice)
+    {
+        this->loop.at(now + hedge_pause,
+                      [this, copy] { this->check_overdue(copy); });
+        return;
+    }
+    ++at.hedged;
+    this->tasks[number].hedged = true;
+    this->count("hedge", 2);
+    this->start(number, *choice);
+}
+
+void policy_model::report(std::size_t from, const planned_report& report)
+{
+    const std::size_t to = this->instance_of(report.lender);
+    this->loop.at(
+        this->loop.now() + this->peer_delay(from, to),
+        [this, from, to, report = report.report]
+        {
+            auto revoked =
+                this->instances[to]->book->on_report(report, this->loop.now());
+            auto back = this->instances[to]->book->report_for(
+                this->instances[from]->entry().name);
+            this->dispatch(to);
+            this->loop.at(this->loop.now() + this->peer_delay(to, from),
+                          [this, from, to, revoked, back]
+                          {
+                              grant_book& book = *this->instances[from]->book;
+                              book.on_revoked(this->instances[to]->entry().name,
+                                              revoked);
+                              book.on_report(back, this->loop.now());
+                          });
+        });
+}
+
+void policy_model::tick(std::size_t instance)
+{
+    if (this->jobs_left == 0)
+    {
+        return;
+    }
+    model_instance& at = *this->instances[instance];
+    if (at.book)
+    {
+        for (const planned_report& report : at.book->tick(this->loop.now()))
+        {
+            this->count("give_back", 2);
+            this->report(instance, report);
+        }
+    }
+    this->dispatch(instance);
+    this->loop.at(this->loop.now() + tick_interval,
+                  [this, instance] { this->tick(instance); });
+}
+
+void policy_model::heartbeat(std::size_t instance)
+{
+    if (this->jobs_left == 0)
+    {
+        return;
+    }
+    model_instance& at = *this->instances[instance];
+    const std::size_t peers =
+        std::min(this->options.heartbeat_peers, this->instances.size() - 1);
+    for (std::size_t i = 0; i < peers; ++i)
+    {
+        const std::size_t peer = at.next_peer(this->instances.size());
+        this->count("heartbeat", 2);
+        if (at.book)
+        {
+            const std::string& name = this->instances[peer]->entry().name;
+            this->report(instance, {name, at.book->report_for(name)});
+        }
+    }
+    this->loop.at(this->loop.now() + this->options.heartbeat,
+                  [this, instance] { this->heartbeat(instance); });
+}
+
+} // namespace jujubedrum
