Add the scenario runner and tests of the stand-ins

Scenarios run real processes from scripts with one step a line, and check conditions by waiting up to 30 s, never by exact timing. Links between processes can be cut: the runner relays them, and the platform stand-in shows each entry instance its own relay addresses, told apart by source address. Scripts without a cut use direct connections, since a relay accepts a connection before its target can refuse it.

Golden sessions record every request and reply, with times, ports and generated ids replaced.

--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -40,6 +40,9 @@
     this->Put("/control/instances/([^/]+)",
               [this](const auto& request, auto& response)
               { this->put_instance(request, response); });
+    this->Put("/control/views/([^/]+)",
+              [this](const auto& request, auto& response)
+              { this->put_view(request, response); });
     this->Post("/control/faults", [this](const auto& request, auto& response)
                { this->set_faults(request, response); });
     this->Get("/control/faults",
@@ -156,7 +159,30 @@
         hang_up();
         return;
     }
-    reply_json(response, 200, this->instances.read(since, now()));
+    nlohmann::json reply = this->instances.read(since, now());
+    const auto view = this->views.find(request.remote_addr);
+    if (view != this->views.end())
+    {
+        for (nlohmann::json& entry : reply["changes"])
+        {
+            entry.update(view->second.value(entry["name"].get<std::string>(),
+                                            nlohmann::json::object()));
+        }
+    }
+    reply_json(response, 200, reply);
+}
+
+void platform_server::put_view(const httplib::Request& request,
+                               httplib::Response& response)
+{
+    const auto body = parse_object(request.body, response);
+    if (!body.has_value())
+    {
+        return;
+    }
+    const std::lock_guard lock(this->state_mutex);
+    this->views[request.matches[1]] = *body;
+    reply_json(response, 200, nlohmann::json::object());
 }
 
 void platform_server::put_instance(const httplib::Request& request,
--- a/standins/platform/platform_server.hpp
+++ b/standins/platform/platform_server.hpp
@@ -30,6 +30,7 @@
     void list(const httplib::Request& request, httplib::Response& response);
     void put_instance(const httplib::Request& request,
                       httplib::Response& response);
+    void put_view(const httplib::Request& request, httplib::Response& response);
     void set_faults(const httplib::Request& request,
                     httplib::Response& response);
     void counts(httplib::Response& response);
@@ -43,6 +44,9 @@
     append_cap cap;
     std::map<std::string, record_log> streams;
     instance_list instances;
+    /// Fields that readers at one IP address see instead of the listed ones,
+    /// by that address and instance name.
+    std::map<std::string, nlohmann::json> views;
     platform_faults faults;
     bool stopping = false;
     long long appends = 0;
--- /dev/null
+++ b/tests/scenarios/golden_transcript.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "http_call.hpp"
+
+#include <set>
+#include <string>
+
+namespace jujubedrum
+{
+
+/// Text of a whole session, with what differs between runs replaced by
+/// placeholders: times, ports, incarnations and generated ids.
+class golden_transcript
+{
+public:
+    /// Adds a JSON key whose values are replaced in replies.
+    void mask(const std::string& key) { this->masked.insert(key); }
+    /// Adds a request and its reply.
+    void add(const std::string& target, const http_request& request,
+             const http_reply& reply);
+    [[nodiscard]] const std::string& text() const { return this->content; }
+
+private:
+    void append_body(const std::string& body, bool is_reply);
+    [[nodiscard]] nlohmann::ordered_json
+    replace_values(const nlohmann::ordered_json& value, const std::string& key,
+                   bool is_reply) const;
+
+    std::set<std::string> masked;
+    std::string content;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/tests/scenarios/http_call.cpp
@@ -0,0 +1,46 @@
+#include "http_call.hpp"
+
+#include <httplib.h>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds reply_bound(90);
+
+} // namespace
+
+nlohmann::json http_reply::json() const
+{
+    auto value = nlohmann::json::parse(this->body, nullptr, false);
+    return value.is_discarded() ? nlohmann::json() : value;
+}
+
+http_reply http_call(const http_request& request)
+{
+    httplib::Client client("127.0.0.1", request.port);
+    client.set_tcp_nodelay(true);
+    client.set_read_timeout(reply_bound);
+    httplib::Request message;
+    message.method = request.method;
+    message.path = request.path;
+    message.body = request.body;
+    if (!request.body.empty())
+    {
+        message.set_header("Content-Type", "application/json");
+    }
+    if (!request.token.empty())
+    {
+        message.set_header("Authorization", "Bearer " + request.token);
+    }
+    const httplib::Result result = client.send(message);
+    if (!result)
+    {
+        return {};
+    }
+    return {result->status, result->body};
+}
+
+} // namespace jujubedrum
--- /dev/null
+++ b/tests/scenarios/http_call.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+namespace jujubedrum
+{
+
+/// One HTTP request of the runner.
+struct http_request
+{
+    int port = 0;
+    std::string method;
+    std::string path;
+    std::string body;
+    /// Bearer token, or empty for none.
+    std::string token;
+};
+
+/// Its reply; the status is 0 if none came within 90 s.
+struct http_reply
+{
+    int status = 0;
+    std::string body;
+
+    /// Returns the body as JSON, or null if it is none.
+    [[nodiscard]] nlohmann::json json() const;
+};
+
+/// Sends the request on a connection of its own and waits for the reply.
+http_reply http_call(const http_request& request);
+
+} // namespace jujubedrum
--- /dev/null
+++ b/tests/scenarios/load_generator.cpp
@@ -0,0 +1,117 @@
+#include "load_generator.hpp"
+
+#include "http_call.hpp"
+#include "job_body.hpp"
+#include "waiting.hpp"
+
+#include <utility>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds longest_load(60);
+
+std::string outcome_of(const http_reply& reply)
+{
+    if (reply.status == 0)
+    {
+        return "no_reply";
+    }
+    const nlohmann::json body = reply.json();
+    return body.is_object() && body.contains("outcome")
+               ? body["outcome"].get<std::string>()
+               : "error " + std::to_string(reply.status);
+}
+
+} // namespace
+
+load_generator::load_generator(std::string name, int port, std::string token,
+                               std::map<std::string, std::string> options)
+    : name(std::move(name))
+    , port(port)
+    , token(std::move(token))
+    , options(std::move(options))
+{
+    const auto concurrency = this->options.find("concurrency");
+    const int count =
+        concurrency == this->options.end() ? 4 : std::stoi(concurrency->second);
+    for (int number = 0; number < count; ++number)
+    {
+        this->threads.emplace_back([this, number] { this->run(number); });
+    }
+}
+
+load_generator::~load_generator()
+{
+    this->stop();
+}
+
+void load_generator::stop()
+{
+    this->stopping = true;
+    for (std::thread& thread : this->threads)
+    {
+        thread.join();
+    }
+    this->threads.clear();
+}
+
+std::map<std::string, int> load_generator::outcomes()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->counts;
+}
+
+std::vector<std::string> load_generator::faults()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->wrong;
+}
+
+void load_generator::run(int thread_number)
+{
+    const auto until = std::chrono::steady_clock::now() + longest_load;
+    for (int number = 0;
+         !this->stopping && std::chrono::steady_clock::now() < until; ++number)
+    {
+        this->submit(this->name + "-" + std::to_string(thread_number) + "-" +
+                     std::to_string(number));
+    }
+}
+
+void load_generator::submit(const std::string& job_name)
+{
+    const nlohmann::json job = make_job(job_name, this->options);
+    http_reply reply =
+        http_call({this->port, "POST", "/v1/jobs", job.dump(), this->token});
+    const nlohmann::json first = reply.json();
+    if (reply.status == 202 && first.is_object() && first.contains("id"))
+    {
+        const std::string path = "/v1/jobs/" + first["id"].get<std::string>();
+        wait_for(
+            [&]
+            {
+                reply = http_call({this->port, "GET", path, "", this->token});
+                return reply.status != 202;
+            });
+    }
+    const std::string outcome = outcome_of(reply);
+    const std::string fault =
+        outcome == "complete" ? check_answers(job, reply.json()) : "";
+    const std::lock_guard lock(this->mutex);
+    ++this->counts[outcome];
+    if (!fault.empty())
+    {
+        this->wrong.push_back(job_name + ": " + fault);
+    }
+    // A refused connection returns at once; the pause bounds the attempts.
+    if (outcome == "no_reply")
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+}
+
+} // namespace jujubedrum
--- /dev/null
+++ b/tests/scenarios/load_generator.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// Submits jobs one after the other on several threads until it is stopped or
+/// 60 s have passed, and checks every answer.
+class load_generator
+{
+public:
+    /// \param options of `make_job`, and `concurrency` (default 4).
+    load_generator(std::string name, int port, std::string token,
+                   std::map<std::string, std::string> options);
+    load_generator(const load_generator&) = delete;
+    load_generator& operator=(const load_generator&) = delete;
+    ~load_generator();
+
+    /// Stops submitting and waits for the replies. May be repeated.
+    void stop();
+    /// Returns the number of jobs by outcome ("no_reply", "error 401", ...).
+    std::map<std::string, int> outcomes();
+    /// Returns the faults found in answers.
+    std::vector<std::string> faults();
+
+private:
+    void run(int thread_number);
+    void submit(const std::string& job_name);
+
+    const std::string name;
+    const int port;
+    const std::string token;
+    const std::map<std::string, std::string> options;
+    std::atomic<bool> stopping{false};
+    std::mutex mutex;
+    std::map<std::string, int> counts;
+    std::vector<std::string> wrong;
+    std::vector<std::thread> threads;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/tests/scenarios/pending_call.cpp
@@ -0,0 +1,51 @@
+#include "pending_call.hpp"
+
+#include "scenario_error.hpp"
+
+#include <utility>
+
+namespace jujubedrum
+{
+
+pending_call::pending_call(std::string target, const http_request& request)
+    : name(std::move(target))
+    , sent(request)
+    , result(std::async(std::launch::async,
+                        [request] { return http_call(request); }))
+{
+}
+
+nlohmann::json pending_call::body() const
+{
+    return http_reply{0, this->sent.body}.json();
+}
+
+const http_reply& pending_call::reply()
+{
+    if (this->result.wait_for(std::chrono::seconds(120)) !=
+        std::future_status::ready)
+    {
+        throw scenario_error("no end of the call to " + this->name);
+    }
+    return this->result.get();
+}
+
+bool pending_call::ended()
+{
+    return this->result.wait_for(std::chrono::seconds(0)) ==
+           std::future_status::ready;
+}
+
+std::string pending_call::job_id()
+{
+    for (const nlohmann::json& source : {this->body(), this->reply().json()})
+    {
+        if (source.is_object() && source.contains("id"))
+        {
+            return source["id"];
+        }
+    }
+    throw scenario_error("the job's id is not known");
+}
+
+} // namespace jujubedrum
--- /dev/null
+++ b/tests/scenarios/scenario.cpp
@@ -0,0 +1,662 @@
+#include "scenario.hpp"
+
+#include "comparison.hpp"
+#include "job_body.hpp"
+#include "scenario_error.hpp"
+#include "waiting.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+using words = std::vector<std::string>;
+
+void require(bool condition, const std::string& text)
+{
+    if (!condition)
+    {
+        throw scenario_error(text);
+    }
+}
+
+const std::string& word(const words& step, std::size_t index)
+{
+    require(index < step.size(), "the step has too few words");
+    return step[index];
+}
+
+/// Returns the key=value words from an index on.
+step_options options_of(const words& step, std::size_t first)
+{
+    step_options result;
+    for (std::size_t index = first; index < step.size(); ++index)
+    {
+        const std::size_t equals = step[index].find('=');
+        if (equals != std::string::npos && equals > 0)
+        {
+            result[step[index].substr(0, equals)] =
+                step[index].substr(equals + 1);
+        }
+    }
+    return result;
+}
+
+/// Returns the word after a keyword, or the fallback.
+std::string word_after(const words& step, const std::string& keyword,
+                       const std::string& fallback)
+{
+    const auto found = std::find(step.begin() + 1, step.end(), keyword);
+    return found == step.end() || found + 1 == step.end() ? fallback
+                                                          : *(found + 1);
+}
+
+std::string option_or(const step_options& options, const std::string& key,
+                      const std::string& fallback)
+{
+    const auto found = options.find(key);
+    return found == options.end() ? fallback : found->second;
+}
+
+std::string team_token(const std::string& team)
+{
+    return "token-" + team;
+}
+
+long long wall_ms()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+nlohmann::json json_value(const std::string& text)
+{
+    auto value = nlohmann::json::parse(text, nullptr, false);
+    return value.is_discarded() ? nlohmann::json(text) : value;
+}
+
+bool uses_relays(const std::vector<scenario_step>& steps)
+{
+    return std::any_of(steps.begin(), steps.end(),
+                       [](const scenario_step& step)
+                       { return step.words[0] == "cut"; });
+}
+
+/// Returns whether the outcome is one of "a|b|c".
+bool is_one_of(const std::string& outcome, const std::string& list)
+{
+    std::istringstream input(list);
+    std::string part;
+    while (std::getline(input, part, '|'))
+    {
+        if (part == outcome)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::string outcome_of(const http_reply& reply)
+{
+    if (reply.status == 0)
+    {
+        return "no_reply";
+    }
+    const nlohmann::json outcome = value_at(reply.json(), "outcome");
+    return outcome.is_string() ? outcome.get<std::string>()
+                               : "error " + std::to_string(reply.status);
+}
+
+} // namespace
+
+scenario::scenario(const std::filesystem::path& bin,
+                   const std::filesystem::path& work,
+                   const std::filesystem::path& script)
+    : script(read_script(script))
+    , folder(script.parent_path())
+{
+    this->bed = std::make_unique<testbed>(bin, work, uses_relays(this->script));
+}
+
+scenario::~scenario()
+{
+    // The processes end first, which ends the calls that still wait.
+    this->bed.reset();
+}
+
+void scenario::run()
+{
+    for (const scenario_step& step : this->script)
+    {
+        try
+        {
+            const auto found = steps().find(step.words[0]);
+            require(found != steps().end(), "unknown step");
+            (this->*found->second)(step.words);
+        }
+        catch (const std::exception& error)
+        {
+            throw scenario_error("line " + std::to_string(step.line) + ": " +
+                                 step.text + ": " + error.what());
+        }
+    }
+}
+
+std::string scenario::log_tails() const
+{
+    return this->bed->log_tails();
+}
+
+const std::map<std::string, scenario::step_function>& scenario::steps()
+{
+    static const std::map<std::string, step_function> table = {
+        {"start", &scenario::start},
+        {"restart", &scenario::restart},
+        {"stop", &scenario::stop},
+        {"kill", &scenario::kill},
+        {"freeze", &scenario::freeze},
+        {"thaw", &scenario::thaw},
+        {"list", &scenario::list},
+        {"fault", &scenario::fault},
+        {"publish", &scenario::publish},
+        {"submit", &scenario::submit},
+        {"resubmit", &scenario::resubmit},
+        {"collect", &scenario::collect},
+        {"cancel", &scenario::cancel},
+        {"request", &scenario::request},
+        {"cut", &scenario::cut},
+        {"heal", &scenario::heal},
+        {"load", &scenario::load},
+        {"end-load", &scenario::end_load},
+        {"wait-until", &scenario::wait_until},
+        {"pause", &scenario::pause},
+        {"mask", &scenario::mask},
+        {"expect", &scenario::expect}};
+    return table;
+}
+
+const std::map<std::string, scenario::step_function>& scenario::expectations()
+{
+    static const std::map<std::string, step_function> table = {
+        {"answers", &scenario::expect_answers},
+        {"starts", &scenario::expect_starts},
+        {"no-new-starts", &scenario::expect_no_new_starts},
+        {"no-repeated-starts", &scenario::expect_no_repeated_starts},
+        {"load", &scenario::expect_load}};
+    return table;
+}
+
+void scenario::start(const words& step)
+{
+    const std::string& what = word(step, 1);
+    if (what == "platform")
+    {
+        this->bed->start_platform(options_of(step, 2));
+        return;
+    }
+    const step_options options = options_of(step, 3);
+    for (const std::string& name : expand_range(word(step, 2)))
+    {
+        if (what == "backend")
+        {
+            this->bed->start_backend(name, options);
+            continue;
+        }
+        require(what == "entry", "unknown kind of process");
+        this->bed->start_entry(name, options);
+    }
+}
+
+void scenario::restart(const words& step)
+{
+    this->bed->restart(word(step, 1));
+}
+
+void scenario::stop(const words& step)
+{
+    this->bed->stop(word(step, 1));
+}
+
+void scenario::kill(const words& step)
+{
+    this->bed->kill(word(step, 1));
+}
+
+void scenario::freeze(const words& step)
+{
+    this->bed->signal(word(step, 1), SIGSTOP);
+}
+
+void scenario::thaw(const words& step)
+{
+    this->bed->signal(word(step, 1), SIGCONT);
+}
+
+void scenario::list(const words& step)
+{
+    this->bed->list(word(step, 1), word(step, 2));
+}
+
+void scenario::fault(const words& step)
+{
+    nlohmann::json body = nlohmann::json::object();
+    for (const auto& [key, value] : options_of(step, 2))
+    {
+        body[key] = json_value(value);
+    }
+    require(!body.empty(), "the step names no fault");
+    for (const std::string& name : expand_range(word(step, 1)))
+    {
+        this->bed->send(name, "POST", "/control/faults", body);
+    }
+}
+
+void scenario::publish(const words& step)
+{
+    const int status =
+        this->bed->publish(word(step, 1), this->folder / word(step, 2),
+                           word(step, 3), word(step, 4));
+    const bool refused = step.size() > 5 && step[5] == "refused";
+    require((status != 0) == refused,
+            "jujubedrumctl exited with status " + std::to_string(status));
+}
+
+void scenario::submit(const words& step)
+{
+    const std::string& target = word(step, 1);
+    const std::string& source = word(step, 2);
+    const step_options options = options_of(step, 3);
+    const std::string as = word_after(step, "as", "");
+    require(!as.empty(), "the step does not name its job");
+    for (const std::string& name : expand_range(as))
+    {
+        nlohmann::json job;
+        if (source == "job")
+        {
+            job = make_job(name, options);
+        }
+        else if (source.starts_with('{'))
+        {
+            job = json_value(source);
+        }
+        else
+        {
+            std::ifstream input(this->folder / source);
+            job = nlohmann::json::parse(input);
+        }
+        const std::string token =
+            option_or(options, "token", team_token(job.value("team", "")));
+        std::string id = option_or(options, "id", "");
+        if (id == "issued")
+        {
+            id = this->issue_id(target, token);
+        }
+        else if (!id.empty())
+        {
+            job["created_at_ms"] =
+                wall_ms() + std::stoll(option_or(options, "age_ms", "0")) * -1;
+        }
+        if (!id.empty())
+        {
+            job["id"] = id;
+        }
+        this->open(
+            name, target,
+            {this->bed->port(target), "POST", "/v1/jobs", job.dump(), token});
+    }
+}
+
+void scenario::resubmit(const words& step)
+{
+    pending_call& first = this->call(word(step, 1));
+    const std::string target = word_after(step, "to", first.target());
+    http_request request = first.request();
+    request.port = this->bed->port(target);
+    nlohmann::json body = first.body();
+    if (!body.contains("id"))
+    {
+        body["id"] = first.job_id();
+        request.body = body.dump();
+    }
+    for (const std::string& name : expand_range(word_after(step, "as", "")))
+    {
+        this->open(name, target, request);
+    }
+}
+
+void scenario::collect(const words& step)
+{
+    pending_call& job = this->call(word(step, 1));
+    const std::string target = word_after(step, "from", job.target());
+    this->open(word_after(step, "as", ""), target,
+               {this->bed->port(target), "GET", "/v1/jobs/" + job.job_id(), "",
+                job.request().token});
+}
+
+void scenario::cancel(const words& step)
+{
+    pending_call& job = this->call(word(step, 1));
+    const std::string target = word_after(step, "at", job.target());
+    this->open(word_after(step, "as", "cancel-" + step[1]), target,
+               {this->bed->port(target), "DELETE", "/v1/jobs/" + job.job_id(),
+                "", job.request().token});
+}
+
+void scenario::request(const words& step)
+{
+    const std::string& target = word(step, 1);
+    std::string body;
+    if (step.size() > 4 && step[4] != "as" && !step[4].starts_with("token="))
+    {
+        body = step[4];
+    }
+    this->open(word_after(step, "as", ""), target,
+               {this->bed->port(target), word(step, 2), word(step, 3), body,
+                option_or(options_of(step, 4), "token", "")});
+}
+
+void scenario::cut(const words& step)
+{
+    require(word(step, 2) == "from", "expected: cut X from Y [refuse]");
+    this->bed->set_links(word(step, 1), word(step, 3),
+                         step.size() > 4 && step[4] == "refuse"
+                             ? relay_hub::mode::refused
+                             : relay_hub::mode::stalled);
+}
+
+void scenario::heal(const words& step)
+{
+    if (step.size() == 1)
+    {
+        this->bed->heal();
+        return;
+    }
+    this->bed->set_links(word(step, 1), word(step, 3), relay_hub::mode::open);
+}
+
+void scenario::load(const words& step)
+{
+    const std::string& target = word(step, 1);
+    const step_options options = options_of(step, 2);
+    const std::string name = word_after(step, "as", "load");
+    const std::string token = option_or(
+        options, "token", team_token(option_or(options, "team", "rake")));
+    this->loads[name] = std::make_unique<load_generator>(
+        name, this->bed->port(target), token, options);
+}
+
+void scenario::end_load(const words& step)
+{
+    const auto found = this->loads.find(word(step, 1));
+    require(found != this->loads.end(), "no such load");
+    found->second->stop();
+}
+
+void scenario::wait_until(const words& step)
+{
+    const std::string& what = word(step, 1);
+    const std::string& name = word(step, 2);
+    const std::map<std::string, std::string> paths = {
+        {"status", "/v1/admin/status"},
+        {"starts", "/control/starts?summary=1"},
+        {"counts", "/control/counts"}};
+    const auto path = paths.find(what);
+    require(path != paths.end(), "unknown source " + what);
+    nlohmann::json last;
+    const bool held = wait_for(
+        [&]
+        {
+            const http_reply reply =
+                http_call({this->bed->port(name), "GET", path->second, "", ""});
+            last = value_at(reply.json(), word(step, 3));
+            return !last.is_null() &&
+                   compare(last, word(step, 4), word(step, 5));
+        });
+    require(held, "the value stayed " + last.dump());
+}
+
+void scenario::pause(const words& step)
+{
+    std::this_thread::sleep_for(
+        std::chrono::milliseconds(std::stoi(word(step, 1))));
+}
+
+void scenario::mask(const words& step)
+{
+    for (std::size_t index = 1; index < step.size(); ++index)
+    {
+        this->session.mask(step[index]);
+    }
+}
+
+void scenario::expect(const words& step)
+{
+    const auto found = expectations().find(word(step, 1));
+    if (found != expectations().end())
+    {
+        (this->*found->second)(step);
+        return;
+    }
+    for (const std::string& name : expand_range(step[1]))
+    {
+        const std::string& what = word(step, 2);
+        if (what == "status" || what == "json" || what == "no_reply")
+        {
+            this->expect_call(name, step);
+        }
+        else
+        {
+            this->expect_outcome(name, step);
+        }
+    }
+}
+
+void scenario::expect_call(const std::string& name, const words& step)
+{
+    const http_reply& reply = this->call(name).reply();
+    const std::string seen =
+        name + ": status " + std::to_string(reply.status) + " " + reply.body;
+    if (step[2] == "no_reply")
+    {
+        require(reply.status == 0, seen);
+    }
+    else if (step[2] == "status")
+    {
+        require(std::to_string(reply.status) == word(step, 3), seen);
+    }
+    else
+    {
+        require(compare(value_at(reply.json(), word(step, 3)), word(step, 4),
+                        word(step, 5)),
+                seen);
+    }
+}
+
+void scenario::expect_outcome(const std::string& name, const words& step)
+{
+    pending_call& call = this->call(name);
+    const std::string wanted =
+        step[2] == "error" ? "error " + word(step, 3) : step[2];
+    const std::string target = word_after(step, "via", call.target());
+    const http_reply reply = wanted == "in_progress"
+                                 ? call.reply()
+                                 : this->final_reply(call, target);
+    const std::string seen =
+        name + ": status " + std::to_string(reply.status) + " " + reply.body;
+    const std::string outcome = wanted.starts_with("error")
+                                    ? "error " + std::to_string(reply.status)
+                                    : outcome_of(reply);
+    require(is_one_of(outcome, wanted), seen);
+    for (const auto& [key, value] : options_of(step, 3))
+    {
+        require(compare(value_at(reply.json(), key), "=", value), seen);
+    }
+}
+
+void scenario::expect_answers(const words& step)
+{
+    for (const std::string& name : expand_range(word(step, 2)))
+    {
+        pending_call& call = this->call(name);
+        const http_reply reply =
+            this->final_reply(call, word_after(step, "via", call.target()));
+        require(outcome_of(reply) == "complete", name + ": " + reply.body);
+        const std::string fault = check_answers(call.body(), reply.json());
+        require(fault.empty(), name + ": " + fault);
+    }
+}
+
+void scenario::expect_starts(const words& step)
+{
+    for (const std::string& name : expand_range(word(step, 2)))
+    {
+        pending_call& call = this->call(name);
+        const std::string job = call.job_id();
+        const auto counts = this->starts(job);
+        const std::size_t tasks = call.body()["tasks"].size();
+        for (std::size_t index = 0; index < tasks; ++index)
+        {
+            const std::string task = job + "/" + std::to_string(index);
+            const auto found = counts.find(task);
+            const long long count = found == counts.end() ? 0 : found->second;
+            require(compare(count, word(step, 3), word(step, 4)),
+                    task + " was started " + std::to_string(count) + " times");
+        }
+    }
+}
+
+void scenario::expect_no_new_starts(const words& step)
+{
+    const std::string& name = word(step, 2);
+    require(word(step, 3) == "for", "expected: no-new-starts B for N tasks");
+    const long long window = std::stoll(word(step, 4));
+    const auto others = [&]
+    {
+        long long sum = 0;
+        for (const std::string& backend : this->bed->backends())
+        {
+            sum += backend == name ? 0 : this->total_starts(backend);
+        }
+        return sum;
+    };
+    long long own = this->total_starts(name);
+    long long start = others();
+    const bool held = wait_for(
+        [&]
+        {
+            // Read first, so that a start between the reads counts against it.
+            const long long elsewhere = others();
+            const long long now = this->total_starts(name);
+            if (now != own)
+            {
+                own = now;
+                start = elsewhere;
+            }
+            return elsewhere - start >= window;
+        });
+    require(held, name + " still gets new work, or the others get none");
+}
+
+void scenario::expect_no_repeated_starts(const words&)
+{
+    for (const auto& [task, count] : this->starts(""))
+    {
+        require(count <= 1,
+                task + " was started " + std::to_string(count) + " times");
+    }
+}
+
+void scenario::expect_load(const words& step)
+{
+    const auto found = this->loads.find(word(step, 2));
+    require(found != this->loads.end(), "no such load");
+    require(word(step, 3) == "only", "expected: load L only OUTCOMES");
+    const auto faults = found->second->faults();
+    require(faults.empty(), faults.empty() ? "" : faults[0]);
+    const auto outcomes = found->second->outcomes();
+    require(!outcomes.empty(), "the load has no outcome yet");
+    for (const auto& [outcome, count] : outcomes)
+    {
+        require(is_one_of(outcome, word(step, 4)),
+                std::to_string(count) + " jobs ended as " + outcome);
+    }
+}
+
+void scenario::open(const std::string& name, const std::string& target,
+                    const http_request& request)
+{
+    require(!name.empty(), "the step does not name its call");
+    auto& call = this->calls[name];
+    call = std::make_unique<pending_call>(target, request);
+    if (this->recording)
+    {
+        this->session.add(target, request, call->reply());
+    }
+}
+
+pending_call& scenario::call(const std::string& name)
+{
+    const auto found = this->calls.find(name);
+    require(found != this->calls.end(), "no call is named " + name);
+    return *found->second;
+}
+
+http_reply scenario::final_reply(pending_call& call, const std::string& target)
+{
+    http_reply reply = call.reply();
+    if (target == call.target() && outcome_of(reply) != "in_progress")
+    {
+        return reply;
+    }
+    const std::string path = "/v1/jobs/" + call.job_id();
+    wait_for(
+        [&]
+        {
+            reply = http_call({this->bed->port(target), "GET", path, "",
+                               call.request().token});
+            return outcome_of(reply) != "in_progress";
+        });
+    return reply;
+}
+
+std::string scenario::issue_id(const std::string& target,
+                               const std::string& token)
+{
+    const http_reply reply = http_call(
+        {this->bed->port(target), "POST", "/v1/ids", R"({"count":1})", token});
+    const nlohmann::json id = value_at(reply.json(), "/ids/0");
+    require(id.is_string(), "no id was issued: " + reply.body);
+    return id;
+}
+
+std::map<std::string, long long> scenario::starts(const std::string& job)
+{
+    std::map<std::string, long long> result;
+    for (const std::string& backend : this->bed->backends())
+    {
+        const nlohmann::json reply =
+            this->bed->get(backend, "/control/starts?job=" + job);
+        for (const auto& [task, count] : reply["starts"].items())
+        {
+            result[task] += count.get<long long>();
+        }
+    }
+    return result;
+}
+
+long long scenario::total_starts(const std::string& backend)
+{
+    return this->bed->get(backend, "/control/starts?summary=1")["total"];
+}
+
+} // namespace jujubedrum
--- /dev/null
+++ b/tests/scenarios/testbed.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "child_process.hpp"
+#include "http_call.hpp"
+#include "relay_hub.hpp"
+
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace jujubedrum
+{
+
+/// Options of a step: key=value words by key.
+using step_options = std::map<std::string, std::string>;
+
+/// The processes of one scenario and the links between them.
+class testbed
+{
+public:
+    /// \param bin folder of the programs.
+    /// \param work folder for logs, settings and keys of this scenario.
+    /// \param relays whether links between processes can be cut.
+    testbed(std::filesystem::path bin, std::filesystem::path work, bool relays);
+
+    /// Starts the platform stand-in; options are its long options.
+    void start_platform(const step_options& options);
+    /// Starts a backend server stand-in and lists it.
+    void start_backend(const std::string& name, const step_options& options);
+    /// Starts an entry instance, lists it and waits until it is ready.
+    void start_entry(const std::string& name, const step_options& options);
+    /// Starts a stopped or killed process again at the same port.
+    void restart(const std::string& name);
+    /// Sends SIGTERM and expects an exit with status 0.
+    void stop(const std::string& name);
+    /// Sends SIGKILL and waits for the exit.
+    void kill(const std::string& name);
+    /// Sends a signal.
+    void signal(const std::string& name, int number);
+
+    /// Sets the state of an instance in the platform's list.
+    void list(const std::string& name, const std::string& state);
+    /// Sets the mode of all links between the members of two comma-separated
+    /// lists of instance, domain or region names, or "platform".
+    void set_links(const std::string& left, const std::string& right,
+                   relay_hub::mode mode);
+    /// Opens all links.
+    void heal();
+    /// Publishes a configuration section with jujubedrumctl; returns its exit
+    /// status. The file may refer to ${public_key:NAME} and
+    /// ${token_sha256:TEXT}.
+    int publish(const std::string& section, const std::filesystem::path& file,
+                const std::string& editor, const std::string& key);
+
+    /// Returns the HTTP port of a process.
+    int port(const std::string& name) const;
+    /// Returns the names of the backend servers.
+    std::vector<std::string> backends() const;
+    /// Sends a request to a process and returns the JSON reply. Throws
+    /// scenario_error unless the status is 200.
+    nlohmann::json get(const std::string& name, const std::string& path) const;
+    nlohmann::json send(const std::string& name, const std::string& method,
+                        const std::string& path,
+                        const nlohmann::json& body) const;
+    /// Returns the ends of the processes' logs, for a failure message.
+    std::string log_tails() const;
+
+private:
+    struct node
+    {
+        std::string role;
+        std::string domain;
+        std::string region;
+        int port = 0;
+        int rpc_port = 0;
+        std::string source;
+        std::vector<std::string> command;
+        nlohmann::json listing;
+        std::unique_ptr<child_process> process;
+    };
+
+    node& find(const std::string& name);
+    const node& find(const std::string& name) const;
+    void launch(const std::string& name, node& node);
+    std::filesystem::path write_settings(const std::string& name,
+                                         const node& node,
+                                         const step_options& options);
+    void link(const std::string& from, const std::string& to);
+    void publish_views();
+    void set_links_to(const std::string& name, relay_hub::mode mode);
+    bool matches(const std::string& name, const std::string& pattern) const;
+    std::string public_key(const std::string& name);
+    std::filesystem::path key_file(const std::string& name);
+    std::string expand(std::string text);
+    int free_port();
+
+    const std::filesystem::path bin;
+    const std::filesystem::path work;
+    std::unique_ptr<relay_hub> relays;
+    std::map<std::string, node> nodes;
+    /// Port of the relay from one process to another.
+    std::map<std::pair<std::string, std::string>, int> links;
+    std::map<std::string, std::string> public_keys;
+    int next_port = 0;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/tests/unit/relay_hub_test.cpp
@@ -0,0 +1,70 @@
+#include "common/standin_server.hpp"
+#include "scenarios/http_call.hpp"
+#include "scenarios/relay_hub.hpp"
+#include "scenarios/waiting.hpp"
+
+#include <future>
+#include <thread>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace jujubedrum;
+
+namespace
+{
+
+struct relay_fixture
+{
+    relay_fixture()
+    {
+        this->server.Get("/", [](const auto& request, auto& response)
+                         { response.set_content(request.remote_addr, "t"); });
+        this->port = this->hub.add(this->server.bind("127.0.0.1", 0).value(),
+                                   "127.0.1.7");
+        this->thread =
+            std::thread([this] { this->server.listen_after_bind(); });
+    }
+    ~relay_fixture()
+    {
+        this->server.close();
+        this->thread.join();
+    }
+    http_reply get() { return http_call({this->port, "GET", "/", "", ""}); }
+
+    standin_server server{8};
+    relay_hub hub;
+    int port = 0;
+    std::thread thread;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(relay_hub_suite, relay_fixture)
+
+// Guards against relays that hide which process a connection comes from.
+BOOST_AUTO_TEST_CASE(open_relay_forwards_from_its_source)
+{
+    BOOST_TEST(this->get().body == "127.0.1.7");
+}
+
+// Guards against a cut that loses requests instead of delaying them.
+BOOST_AUTO_TEST_CASE(stalled_relay_delivers_after_healing)
+{
+    this->hub.set_mode(this->port, relay_hub::mode::stalled);
+    auto reply = std::async(std::launch::async, [this] { return this->get(); });
+    BOOST_TEST((reply.wait_for(std::chrono::milliseconds(100)) ==
+                std::future_status::timeout));
+    this->hub.set_mode(this->port, relay_hub::mode::open);
+    BOOST_TEST(reply.get().status == 200);
+}
+
+// Guards against a refusing relay that accepts and then drops connections.
+BOOST_AUTO_TEST_CASE(refusing_relay_gives_no_reply_until_opened)
+{
+    this->hub.set_mode(this->port, relay_hub::mode::refused);
+    BOOST_TEST(this->get().status == 0);
+    this->hub.set_mode(this->port, relay_hub::mode::open);
+    BOOST_TEST(this->get().status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
