Keep tombstones of the job table in flat sets

Cause: a node-based set takes about 48 bytes a tombstone. At 3000 jobs/s of one task for the 600 s lifetime, that is 86 MB, more than the 64 MB budget, and the table refuses jobs.

Change: one flat array of 64-bit hashes for each generation, charged with 24 bytes a tombstone, the size just after an array has grown. Charging the actual size was tried first and ruled out: the account jumped over the bound when an array doubled (4483 of 3000 bytes in open_full_table_refuses).

--- a/src/libjujubedrum/jobs/job_table.cpp
+++ b/src/libjujubedrum/jobs/job_table.cpp
@@ -12,8 +12,10 @@
 
 /// Memory of an entry without its texts: map node, list node, control block.
 constexpr std::size_t entry_bytes = 320;
-/// Memory of a tombstone: hash node and bucket.
-constexpr std::size_t tombstone_bytes = 48;
+/// Memory of a tombstone just after its set has grown: 8 bytes a place at
+/// three eighths full, rounded up. Charging it from the start keeps the
+/// account from jumping over the bound when a set grows.
+constexpr std::size_t tombstone_bytes = 24;
 /// Generations of tombstones within a lifetime. A tombstone lives at most one
 /// generation longer than needed.
 constexpr int generations_per_lifetime = 16;
@@ -155,7 +157,7 @@
     }
     generation& group = this->generations.back();
     group.newest = finished_at;
-    if (group.ids.insert(stable_hash(id)).second)
+    if (group.ids.insert(stable_hash(id)))
     {
         this->byte_count += tombstone_bytes;
     }
--- a/src/libjujubedrum/jobs/job_table.hpp
+++ b/src/libjujubedrum/jobs/job_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "jobs/hash_set.hpp"
 #include "jobs/outcome.hpp"
 #include "jobs/submission.hpp"
 
@@ -12,7 +13,6 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace jujubedrum
 {
@@ -100,7 +100,7 @@
     {
         instant oldest{};
         instant newest{};
-        std::unordered_set<std::uint64_t> ids;
+        hash_set ids;
     };
 
     [[nodiscard]] bool is_tombstone(std::string_view id) const;
