Feed the queue estimate and shed the team furthest over its share

Cause: admission was asked about queued work but never told of it, so a full queue and a hopeless deadline were not refused early. Change: the job controller reports every queued and dequeued task; when the queue is full, unsent jobs of the team furthest over its share end first. Ruled out: a second count in the engine, which could drift from the queue. Conclusion: queue bounds and deadlines now act on real figures.

--- a/src/libjujubedrum/engine/dispatch_engine.cpp
+++ b/src/libjujubedrum/engine/dispatch_engine.cpp
@@ -95,7 +95,7 @@
              initial.tunables.id_lifetime)
     , admitter(job_options().max_queued_tasks)
     , jobs({*this->policy, this->pool, this->stats, this->table, this->budget,
-            this->quotas, this->random, this->out, sink},
+            this->quotas, this->admitter, this->random, this->out, sink},
            job_options_of(initial))
     , config(initial.admin_public_key, initial.tunables.log_retention,
              this->random, this->out)
@@ -717,7 +717,13 @@
     }
     const auto left =
         std::chrono::duration_cast<milliseconds>(deadline - this->now);
-    switch (this->admitter.check(job, left, this->capacity()))
+    const capacity_view view = this->capacity();
+    admission_verdict verdict = this->admitter.check(job, left, view);
+    while (verdict == admission_verdict::queue_full && this->shed_for(job))
+    {
+        verdict = this->admitter.check(job, left, view);
+    }
+    switch (verdict)
     {
     case admission_verdict::admitted:
         return std::nullopt;
@@ -737,6 +743,13 @@
     return std::nullopt;
 }
 
+bool dispatch_engine::shed_for(const submission& job)
+{
+    const auto team =
+        this->admitter.team_to_shed(job.team(), job.tasks().size());
+    return team && this->jobs.shed(*team, this->now);
+}
+
 void dispatch_engine::end_unsent(const submission& job,
                                  const std::vector<request_token>& waiters,
                                  outcome result)
--- a/src/libjujubedrum/engine/dispatch_engine.hpp
+++ b/src/libjujubedrum/engine/dispatch_engine.hpp
@@ -163,6 +163,7 @@
     void admit(submission job, const std::vector<request_token>& waiters,
                instant received, instant deadline);
     std::optional<outcome> refuse(const submission& job, instant deadline);
+    bool shed_for(const submission& job);
     void end_unsent(const submission& job,
                     const std::vector<request_token>& waiters, outcome result);
     void call(const peer_address& peer, peer_request request,
--- a/src/libjujubedrum/engine/job_controller.cpp
+++ b/src/libjujubedrum/engine/job_controller.cpp
@@ -150,6 +150,23 @@
     }
 }
 
+bool job_controller::shed(const std::string& team, instant now)
+{
+    for (auto at = this->deadlines.rbegin(); at != this->deadlines.rend(); ++at)
+    {
+        running_job* job = this->find(at->second);
+        if (job == nullptr || job->job.team() != team ||
+            !job->may_have_run().empty())
+        {
+            continue;
+        }
+        this->fail_or_not_run(*job, outcome_reason::overloaded,
+                              "shed in favour of a team below its share", now);
+        return true;
+    }
+    return false;
+}
+
 running_job* job_controller::find(std::uint64_t number)
 {
     const auto found = this->jobs.find(number);
@@ -160,6 +177,17 @@
 {
     job.tasks[index].at = stage::queued;
     this->queue.push(job.job.team(), {job.deadline, job.number, index});
+    this->services.admitter.on_queued(job.job.team(), 1,
+                                      job.job.tasks()[index].run_time());
+}
+
+void job_controller::dequeue(running_job& job, std::uint32_t index)
+{
+    if (this->queue.remove(job.job.team(), {job.deadline, job.number, index}))
+    {
+        this->services.admitter.on_dequeued(job.job.team(), 1,
+                                            job.job.tasks()[index].run_time());
+    }
 }
 
 bool job_controller::place(const team_task& next, instant now)
@@ -174,6 +202,7 @@
         return false;
     }
     this->queue.pop(next);
+    this->services.admitter.on_dequeued(next.team, 1, task.run_time());
     this->send(job, index, *choice, false, now);
     return true;
 }
@@ -279,8 +308,7 @@
     }
     if (task.at == stage::queued)
     {
-        this->queue.remove(job.job.team(),
-                           {job.deadline, job.number, attempt.index});
+        this->dequeue(job, attempt.index);
     }
     task.at = stage::done;
     task.answer = reply.result;
@@ -360,7 +388,7 @@
     {
         if (job.tasks[i].at == stage::queued)
         {
-            this->queue.remove(job.job.team(), {job.deadline, job.number, i});
+            this->dequeue(job, i);
         }
     }
     const std::string id = job.job.id();
--- a/src/libjujubedrum/engine/job_controller.hpp
+++ b/src/libjujubedrum/engine/job_controller.hpp
@@ -10,6 +10,7 @@
 #include "engine/task_queue.hpp"
 #include "jobs/job_table.hpp"
 #include "jobs/outcome.hpp"
+#include "limits/admission.hpp"
 #include "limits/retry_budget.hpp"
 #include "placement/placement_policy.hpp"
 #include "placement/server_stats.hpp"
@@ -47,6 +48,7 @@
     job_table& table;
     retry_budget& budget;
     quota_controller& quotas;
+    admission& admitter;
     random_source& random;
     outbox& out;
     metrics_sink& metrics;
@@ -77,6 +79,10 @@
     /// the others than they need to end.
     void drain(instant now);
 
+    /// Ends one job of a team of which nothing was sent, the one with the
+    /// latest deadline, as overloaded. Returns false if there is none.
+    bool shed(const std::string& team, instant now);
+
     /// Returns the number of running jobs.
     [[nodiscard]] std::size_t running() const { return this->jobs.size(); }
     /// Returns the number of tasks in flight.
@@ -109,6 +115,7 @@
 
     [[nodiscard]] running_job* find(std::uint64_t number);
     void enqueue(running_job& job, std::uint32_t index);
+    void dequeue(running_job& job, std::uint32_t index);
     bool place(const team_task& next, instant now);
     void send(running_job& job, std::uint32_t index, const slot_choice& choice,
               bool hedge, instant now);
