Implement the peer RPC on one Cap'n Proto event loop

Entry instances exchange heartbeats, slots, jobs and configuration records. One thread runs the server and the client connections; other threads post calls and replies through a bounded mailbox with an eventfd. Every failed call says whether the request may have reached the peer.

Ruled out: kj::Executor, whose synchronous form blocks the posting thread and whose asynchronous form needs an event loop there.

--- /dev/null
+++ b/src/libruntime/peer_caller.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "peer_link.hpp"
+#include "peer_mailbox.hpp"
+#include "peer_meter.hpp"
+#include "peer_options.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <kj/async-io.h>
+
+namespace jujubedrum
+{
+
+/// The calling side of the peer RPC, on the RPC thread.
+class peer_caller
+{
+public:
+    explicit peer_caller(const peer_link::context& shared);
+    peer_caller(const peer_caller&) = delete;
+    peer_caller& operator=(const peer_caller&) = delete;
+    /// Ends the calls that are still open as `unreachable`.
+    ~peer_caller();
+
+    /// Sends the request; its `done` is called exactly once.
+    void start(posted_call call);
+
+private:
+    struct open_call
+    {
+        std::function<void(peer_reply)> done;
+        std::size_t kind = 0;
+        bool sent = false;
+    };
+
+    std::shared_ptr<peer_link> link_to(const peer_address& to);
+    void drop_idle_links();
+    void finish(std::uint64_t id, peer_reply reply);
+    [[nodiscard]] microseconds time_limit(const peer_request& request) const;
+    [[nodiscard]] peer_delivery delivery(std::uint64_t id) const;
+
+    peer_link::context shared;
+    std::uint64_t next_call = 0;
+    std::map<std::uint64_t, open_call> open;
+    std::map<std::string, std::shared_ptr<peer_link>> links;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libruntime/peer_convert.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "peer.capnp.h"
+#include "peer_messages.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// Conversions between value types and the wire. Reading truncates lists at
+/// their bounds and maps unknown enumerators to the most cautious known one.
+
+void write_digest(wire::Digest::Builder to, const peer_digest& from);
+[[nodiscard]] peer_digest read_digest(wire::Digest::Reader from);
+
+void write_grants(capnp::List<wire::Grant>::Builder to,
+                  const std::vector<slot_grant>& from);
+[[nodiscard]] std::vector<slot_grant>
+read_grants(capnp::List<wire::Grant>::Reader from);
+
+void write_ids(capnp::List<std::uint64_t>::Builder to,
+               const std::vector<std::uint64_t>& from);
+[[nodiscard]] std::vector<std::uint64_t>
+read_ids(capnp::List<std::uint64_t>::Reader from);
+
+void write_records(capnp::List<wire::Record>::Builder to,
+                   const std::vector<stream_record>& from);
+[[nodiscard]] std::vector<stream_record>
+read_records(capnp::List<wire::Record>::Reader from);
+
+void write_failure(wire::Failure::Builder to, const peer_failure& from);
+[[nodiscard]] peer_failure read_failure(wire::Failure::Reader from);
+
+[[nodiscard]] capnp::Text::Reader to_text(const std::string& from);
+[[nodiscard]] std::string from_text(capnp::Text::Reader from);
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libruntime/peer_mailbox.cpp
@@ -0,0 +1,81 @@
+#include "peer_mailbox.hpp"
+
+#include <utility>
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+namespace jujubedrum
+{
+
+peer_mailbox::peer_mailbox(std::size_t capacity)
+    : capacity(capacity)
+    , descriptor(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+{
+}
+
+peer_mailbox::~peer_mailbox()
+{
+    if (this->descriptor >= 0)
+    {
+        ::close(this->descriptor);
+    }
+}
+
+peer_error peer_mailbox::post(posted_call& call)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->waiting.closed)
+    {
+        return peer_error::unreachable;
+    }
+    if (this->waiting.calls.size() >= this->capacity)
+    {
+        return peer_error::overloaded;
+    }
+    this->waiting.calls.push_back(std::move(call));
+    this->wake();
+    return peer_error::none;
+}
+
+void peer_mailbox::post(posted_reply reply)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->waiting.closed)
+    {
+        return;
+    }
+    this->waiting.replies.push_back(std::move(reply));
+    this->wake();
+}
+
+void peer_mailbox::close()
+{
+    const std::lock_guard lock(this->mutex);
+    this->waiting.closed = true;
+    this->wake();
+}
+
+peer_mailbox::batch peer_mailbox::take()
+{
+    const std::lock_guard lock(this->mutex);
+    batch taken = std::exchange(this->waiting, {});
+    this->waiting.closed = taken.closed;
+    return taken;
+}
+
+int peer_mailbox::wake_descriptor() const
+{
+    return this->descriptor;
+}
+
+void peer_mailbox::wake()
+{
+    const std::uint64_t one = 1;
+    // The write fails only if the counter is at its limit, and then the
+    // descriptor is readable already.
+    [[maybe_unused]] const auto written =
+        ::write(this->descriptor, &one, sizeof(one));
+}
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libruntime/peer_meter.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "peer_counters.hpp"
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+
+namespace jujubedrum
+{
+
+/// Counts the traffic of the peer RPC. Written on the RPC thread, read from
+/// any thread.
+class peer_meter
+{
+public:
+    void add_call_out(std::size_t call, std::uint64_t bytes);
+    void add_call_in(std::size_t call, std::uint64_t bytes);
+    void add_reply_sent(std::size_t call, std::uint64_t bytes);
+    void add_reply_received(std::size_t call, std::uint64_t bytes);
+    void add_failure(std::size_t call);
+    void add_socket_sent(std::uint64_t bytes);
+    void add_socket_received(std::uint64_t bytes);
+    void add_connection();
+
+    /// Returns the present counts.
+    [[nodiscard]] peer_counters read() const;
+
+private:
+    using counter = std::atomic<std::uint64_t>;
+
+    struct row
+    {
+        counter calls_out = 0;
+        counter failures = 0;
+        counter calls_in = 0;
+        counter bytes_sent = 0;
+        counter bytes_received = 0;
+    };
+
+    std::array<row, peer_call_count> rows;
+    counter socket_sent = 0;
+    counter socket_received = 0;
+    counter connections = 0;
+};
+
+} // namespace jujubedrum
