--- /dev/null
+++ b/tests/unit/peer_network_test.cpp
@@ -0,0 +1,292 @@
+#include "peer_network.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace jujubedrum;
+
+namespace
+{
+
+/// Answers each kind of request with what a test can check, and keeps the
+/// reply functions of `collect` for later.
+class test_handler final : public peer_handler
+{
+public:
+    void on_request(peer_request request,
+                    std::function<void(peer_reply)> reply) override
+    {
+        if (std::holds_alternative<collect_request>(request))
+        {
+            const std::lock_guard lock(this->mutex);
+            this->held.push_back(std::move(reply));
+            return;
+        }
+        if (auto* beat = std::get_if<heartbeat_request>(&request))
+        {
+            reply(heartbeat_reply{beat->digest});
+        }
+        else if (auto* ask = std::get_if<borrow_request>(&request))
+        {
+            reply(borrow_reply{{{7, ask->borrower, ask->count}}});
+        }
+        else if (auto* job = std::get_if<submit_request>(&request))
+        {
+            reply(submit_reply{job->job});
+        }
+        else if (auto* from = std::get_if<config_records_request>(&request))
+        {
+            reply(config_records_reply{from->from + 1, {{from->from, "{}"}}});
+        }
+        else if (std::holds_alternative<cancel_request>(request))
+        {
+            throw std::runtime_error("test");
+        }
+        // A give-back request is dropped without a reply.
+    }
+
+    /// Waits for the next held reply function.
+    std::function<void(peer_reply)> take_held()
+    {
+        for (int i = 0; i < 2000; ++i)
+        {
+            {
+                const std::lock_guard lock(this->mutex);
+                if (!this->held.empty())
+                {
+                    auto reply = std::move(this->held.back());
+                    this->held.pop_back();
+                    return reply;
+                }
+            }
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+        BOOST_FAIL("no request arrived");
+        return {};
+    }
+
+private:
+    std::mutex mutex;
+    std::vector<std::function<void(peer_reply)>> held;
+};
+
+peer_network make_network(peer_handler& handler, peer_options options = {})
+{
+    peer_reason why;
+    auto network = peer_network::create(options, handler, why);
+    BOOST_REQUIRE_MESSAGE(network.has_value(), why.message());
+    return std::move(*network);
+}
+
+struct two_networks
+{
+    std::future<peer_reply> post(peer_address to, peer_request request)
+    {
+        auto result = std::make_shared<std::promise<peer_reply>>();
+        this->a.call(std::move(to), std::move(request),
+                     [result](peer_reply reply)
+                     { result->set_value(std::move(reply)); });
+        return result->get_future();
+    }
+
+    peer_reply call(peer_address to, peer_request request)
+    {
+        auto future = this->post(std::move(to), std::move(request));
+        BOOST_REQUIRE(future.wait_for(seconds(30)) ==
+                      std::future_status::ready);
+        return future.get();
+    }
+
+    peer_reply call(peer_request request)
+    {
+        return this->call(this->to_b(), std::move(request));
+    }
+
+    peer_address to_b() { return {"b", "127.0.0.1", this->b.port()}; }
+
+    test_handler handler_a;
+    test_handler handler_b;
+    peer_network a = make_network(this->handler_a);
+    peer_network b = make_network(this->handler_b);
+};
+
+peer_failure failure(const peer_reply& reply)
+{
+    BOOST_REQUIRE(std::holds_alternative<peer_failure>(reply));
+    return std::get<peer_failure>(reply);
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(peer_network_suite, two_networks)
+
+// Guards against a digest field that is lost or swapped on the wire.
+BOOST_AUTO_TEST_CASE(heartbeat_full_digest_survives_the_wire)
+{
+    const peer_digest digest{"a",    "d1",
+                             5,      peer_phase::leaving,
+                             9,      11,
+                             3,      4,
+                             {1, 2}, {{"c", 6, 7, peer_state::unreachable, 8}}};
+    const peer_reply reply = this->call(heartbeat_request{digest});
+    BOOST_REQUIRE(std::holds_alternative<heartbeat_reply>(reply));
+    BOOST_TEST((std::get<heartbeat_reply>(reply).digest == digest));
+    BOOST_TEST(this->a.counters().calls[0].calls_out == 1U);
+    BOOST_TEST(this->b.counters().calls[0].calls_in == 1U);
+}
+
+// Guards against calls whose reply is marshalled into another kind or that
+// open a connection each.
+BOOST_AUTO_TEST_CASE(call_each_kind_uses_one_connection)
+{
+    const std::string job(8 << 20, 'x');
+    BOOST_TEST((this->call(submit_request{job, seconds(5), 0}) ==
+                peer_reply(submit_reply{job})));
+    BOOST_TEST((this->call(borrow_request{"a", 1, 4, 0.5}) ==
+                peer_reply(borrow_reply{{{7, "a", 4}}})));
+    BOOST_TEST((this->call(config_records_request{3, 10}) ==
+                peer_reply(config_records_reply{4, {{3, "{}"}}})));
+    BOOST_TEST(this->a.counters().connections_opened == 1U);
+}
+
+// Guards against a request that waits forever because its reply function was
+// dropped or the handler threw.
+BOOST_AUTO_TEST_CASE(call_unanswered_by_handler_is_refused)
+{
+    for (const peer_request& request :
+         {peer_request(give_back_request{"a", 1, {7}}),
+          peer_request(cancel_request{"j"})})
+    {
+        const peer_failure why = failure(this->call(request));
+        BOOST_TEST((why.error == peer_error::refused));
+        BOOST_TEST((why.delivery == peer_delivery::unknown));
+    }
+}
+
+// Guards against a reply from another thread that does not wake the RPC
+// thread, and against one waiting call that blocks others.
+BOOST_AUTO_TEST_CASE(call_late_reply_from_another_thread_arrives)
+{
+    auto waiting = this->post(this->to_b(), collect_request{"j", seconds(25)});
+    auto reply = this->handler_b.take_held();
+    this->call(heartbeat_request{});
+    std::thread([&reply] { reply(collect_reply{"{}"}); }).join();
+    BOOST_REQUIRE(waiting.wait_for(seconds(20)) == std::future_status::ready);
+    BOOST_TEST((waiting.get() == peer_reply(collect_reply{"{}"})));
+}
+
+// Guards against a caller that retries elsewhere although the request may
+// have arrived, and against a late reply that reaches a later call.
+BOOST_AUTO_TEST_CASE(call_timeout_may_have_been_delivered)
+{
+    const peer_failure why =
+        failure(this->call(collect_request{"j", microseconds(0)}));
+    BOOST_TEST((why.error == peer_error::timeout));
+    BOOST_TEST((why.delivery == peer_delivery::unknown));
+    this->handler_b.take_held()(collect_reply{"late"});
+    BOOST_TEST((this->call(submit_request{"x", seconds(5), 0}) ==
+                peer_reply(submit_reply{"x"})));
+}
+
+// Guards against a request counted as possibly delivered although no
+// connection was ever made, at the first attempt and during the back-off.
+BOOST_AUTO_TEST_CASE(call_closed_port_is_unreachable_and_not_sent)
+{
+    const peer_address closed{"c", "127.0.0.1", this->b.port()};
+    this->b.stop();
+    for (int i = 0; i < 3; ++i)
+    {
+        const peer_failure why =
+            failure(this->call(closed, heartbeat_request{}));
+        BOOST_TEST((why.error == peer_error::unreachable));
+        BOOST_TEST((why.delivery == peer_delivery::not_sent));
+    }
+    const peer_failure why =
+        failure(this->call({"d", "localhost", 1}, heartbeat_request{}));
+    BOOST_TEST((why.delivery == peer_delivery::not_sent));
+}
+
+// Guards against a call that never ends when the peer dies in the middle, and
+// against a link that does not recover when the peer comes back.
+BOOST_AUTO_TEST_CASE(call_peer_restart_fails_open_call_and_reconnects)
+{
+    const peer_address to = this->to_b();
+    auto waiting = this->post(to, collect_request{"j", seconds(25)});
+    auto reply = this->handler_b.take_held();
+    this->b.stop();
+    BOOST_REQUIRE(waiting.wait_for(seconds(20)) == std::future_status::ready);
+    const peer_failure why = failure(waiting.get());
+    BOOST_TEST((why.error == peer_error::unreachable));
+    BOOST_TEST((why.delivery == peer_delivery::unknown));
+    reply(collect_reply{"after the end"});
+
+    peer_options options;
+    options.rpc_port = to.rpc_port;
+    const peer_network again = make_network(this->handler_b, options);
+    bool recovered = false;
+    for (int i = 0; i < 200 && !recovered; ++i)
+    {
+        recovered = std::holds_alternative<heartbeat_reply>(
+            this->call(to, heartbeat_request{}));
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    BOOST_TEST(recovered);
+}
+
+// Guards against unbounded memory for calls to a peer that does not answer,
+// and against a stop that loses completions.
+BOOST_AUTO_TEST_CASE(call_beyond_bounds_is_overloaded_and_stop_ends_all)
+{
+    peer_options options;
+    options.max_outgoing = 4;
+    peer_network small = make_network(this->handler_a, options);
+    std::atomic<int> overloaded = 0;
+    std::atomic<int> ended = 0;
+    for (int i = 0; i < 10; ++i)
+    {
+        small.call(this->to_b(), collect_request{"j", seconds(25)},
+                   [&](peer_reply reply)
+                   {
+                       const auto* why = std::get_if<peer_failure>(&reply);
+                       overloaded +=
+                           why && why->error == peer_error::overloaded &&
+                                   why->delivery == peer_delivery::not_sent
+                               ? 1
+                               : 0;
+                       ++ended;
+                   });
+    }
+    this->handler_b.take_held();
+    small.stop();
+    BOOST_TEST(overloaded == 6);
+    BOOST_TEST(ended == 10);
+}
+
+// Guards against a request above the message limit that breaks the shared
+// connection.
+BOOST_AUTO_TEST_CASE(call_too_large_request_is_refused_and_not_sent)
+{
+    const peer_failure why = failure(
+        this->call(submit_request{std::string(10 << 20, 'x'), seconds(5), 0}));
+    BOOST_TEST((why.error == peer_error::refused));
+    BOOST_TEST((why.delivery == peer_delivery::not_sent));
+}
+
+// Guards against a second process that silently shares or steals a port.
+BOOST_AUTO_TEST_CASE(create_used_port_returns_reason)
+{
+    peer_options options;
+    options.rpc_port = this->b.port();
+    peer_reason why;
+    BOOST_TEST(!peer_network::create(options, this->handler_a, why));
+    BOOST_TEST((why.code() == peer_error::cannot_listen));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
