--- a/src/libjujubedrum/membership/member_table.cpp
+++ b/src/libjujubedrum/membership/member_table.cpp
@@ -135,6 +135,8 @@
     if (added)
     {
         peer.silence_from = asked_at;
+        // A new peer is due soon, but not before all known ones.
+        peer.last_sent = asked_at - 4 * this->options.round;
         // Peers on the first page have been running all along. One that joins
         // later proves itself by its heartbeats first.
         peer.owner = !this->listed && info.state == listed_state::live;
