--- a/src/libjujubedrum/membership/member_options.hpp
+++ b/src/libjujubedrum/membership/member_options.hpp
@@ -15,6 +15,9 @@
     microseconds round = milliseconds(500);
     /// Most heartbeats sent in a round.
     std::size_t targets_per_round = 4;
+    /// Most of them to peers that there is no doubt about. The rest is left to
+    /// doubtful peers, so that the calm traffic stays within 3 KB/s.
+    std::size_t calm_targets = 1;
     /// Consecutive failed heartbeats that make a peer suspect.
     std::uint32_t missed_limit = 3;
     /// Shortest silence that makes a peer suspect: three rounds.
--- a/src/libjujubedrum/membership/member_table.cpp
+++ b/src/libjujubedrum/membership/member_table.cpp
@@ -16,10 +16,9 @@
 constexpr std::size_t max_tombstones = 1024;
 
 // Relative heartbeat rates. Slots are divided within a failure domain, so its
-// members are watched more closely; a doubtful peer is settled soon.
+// members are watched more closely.
 constexpr std::uint64_t other_domain_weight = 1;
 constexpr std::uint64_t own_domain_weight = 3;
-constexpr std::uint64_t doubt_weight = 3;
 
 template <typename Container, typename Value>
 bool contains(const Container& values, const Value& value)
@@ -135,8 +134,16 @@
     if (added)
     {
         peer.silence_from = asked_at;
-        // A new peer is due soon, but not before all known ones.
-        peer.last_sent = asked_at - 4 * this->options.round;
+        // The first turns are spread, differently at each sender, so that the
+        // instances do not all send to the same peer.
+        constexpr std::uint64_t steps = 1U << 16U;
+        const std::uint64_t step =
+            stable_hash(this->own.name + "/" + info.name) % steps;
+        peer.info.domain = info.domain;
+        peer.turn =
+            this->last_turn +
+            static_cast<double>(step) /
+                static_cast<double>(steps * this->heartbeat_weight(peer));
         // Peers on the first page have been running all along. One that joins
         // later proves itself by its heartbeats first.
         peer.owner = !this->listed && info.state == listed_state::live;
@@ -241,9 +248,13 @@
 void member_table::contact(peer_record& peer, const peer_digest& digest,
                            instant now)
 {
-    if (peer.incarnation == digest.incarnation)
+    if (peer.failed_in_row > 0)
     {
-        peer.note_gap(now - peer.silence_from);
+        peer.note_pause(now - peer.silence_from);
+    }
+    else
+    {
+        peer.note_calm();
     }
     peer.incarnation = digest.incarnation;
     peer.last_contact = std::max(peer.last_contact, now);
@@ -312,24 +323,25 @@
     this->refresh(at->second, now);
 }
 
-std::uint64_t member_table::heartbeat_weight(const peer_record& peer) const
+bool member_table::doubtful(const peer_record& peer) const
 {
-    const std::uint64_t base = peer.info.domain == this->own.domain
-                                   ? own_domain_weight
-                                   : other_domain_weight;
     // An unreachable peer is probed at the ordinary rate, so that a long
-    // partition does not take the heartbeats of the others.
-    const bool doubtful =
-        peer.state != peer_state::unreachable &&
-        (peer.incarnation_doubt || peer.another_suspects ||
-         peer.failed_in_row > 0 || peer.state == peer_state::suspect);
-    return doubtful ? base + doubt_weight : base;
+    // partition does not raise the traffic.
+    return peer.state != peer_state::unreachable &&
+           (peer.incarnation_doubt || peer.another_suspects ||
+            peer.failed_in_row > 0 || peer.state == peer_state::suspect);
+}
+
+std::uint64_t member_table::heartbeat_weight(const peer_record& peer) const
+{
+    return peer.info.domain == this->own.domain ? own_domain_weight
+                                                : other_domain_weight;
 }
 
 microseconds member_table::pass_time(const peer_record& peer) const
 {
     const std::uint64_t turns =
-        this->options.targets_per_round * this->heartbeat_weight(peer);
+        this->options.calm_targets * this->heartbeat_weight(peer);
     const auto rounds = static_cast<microseconds::rep>(
         (this->total_weight + turns - 1) / std::max<std::uint64_t>(turns, 1));
     return this->options.round * std::max<microseconds::rep>(rounds, 1);
@@ -351,8 +363,11 @@
         std::max(this->options.shortest_silence, peer.usual_silence());
     const microseconds doubtful =
         std::min(std::max(usual, 2 * pass), lost * 4 / 5);
-    const bool missed = peer.failed_in_row >= this->options.missed_limit &&
-                        silence >= std::min(usual, doubtful);
+    // The failure of another instance counts like two of the own ones.
+    const std::uint32_t limit =
+        peer.another_suspects ? 1 : this->options.missed_limit;
+    const bool missed =
+        peer.failed_in_row >= limit && silence >= std::min(usual, doubtful);
     peer_state state = peer_state::alive;
     if (this->gone_is_proof(peer,
                             std::max(peer.last_contact, peer.silence_from)))
@@ -476,44 +491,69 @@
     }
     this->last_round = now;
     this->refresh_domains(now);
-    std::vector<std::pair<std::uint64_t, peer_record*>> due;
+    std::vector<instance_info> targets = this->calm_round(now);
+    this->add_doubtful(targets, now);
+    return targets;
+}
+
+std::vector<instance_info> member_table::calm_round(instant now)
+{
+    // Stride scheduling: every peer is reached within its pass time.
+    std::vector<std::pair<double, peer_record*>> due;
     for (auto& [name, peer] : this->records)
     {
-        if (peer.state != peer_state::dead && peer.info.rpc_port != 0)
+        if (peer.state != peer_state::dead && peer.info.rpc_port != 0 &&
+            !this->doubtful(peer))
         {
-            const auto waited =
-                static_cast<std::uint64_t>((now - peer.last_sent).count() + 1);
-            due.emplace_back(waited * this->heartbeat_weight(peer), &peer);
+            due.emplace_back(peer.turn, &peer);
         }
     }
-    const std::size_t count =
-        std::min(due.size(), this->options.targets_per_round);
-    // Equal claims are ordered differently at each sender, so that the
-    // instances do not all send to the same peer.
-    const auto before = [this](const auto& a, const auto& b)
-    {
-        return a.first != b.first
-                   ? a.first > b.first
-                   : stable_hash(this->own.name + a.second->info.name) <
-                         stable_hash(this->own.name + b.second->info.name);
-    };
-    std::partial_sort(due.begin(),
-                      due.begin() + static_cast<std::ptrdiff_t>(count),
-                      due.end(), before);
+    std::sort(due.begin(), due.end());
+    due.resize(std::min(due.size(), this->options.calm_targets));
     std::vector<instance_info> targets;
-    for (std::size_t i = 0; i < count; ++i)
+    for (const auto& [turn, peer] : due)
     {
-        due[i].second->last_sent = now;
-        targets.push_back(due[i].second->info);
+        this->last_turn = std::max(this->last_turn, turn);
+        peer->turn = this->last_turn +
+                     1.0 / static_cast<double>(this->heartbeat_weight(*peer));
+        peer->last_sent = now;
+        targets.push_back(peer->info);
     }
     return targets;
 }
 
+void member_table::add_doubtful(std::vector<instance_info>& targets,
+                                instant now)
+{
+    std::vector<std::pair<instant, peer_record*>> due;
+    for (auto& [name, peer] : this->records)
+    {
+        if (peer.state != peer_state::dead && peer.info.rpc_port != 0 &&
+            this->doubtful(peer))
+        {
+            due.emplace_back(peer.last_sent, &peer);
+        }
+    }
+    std::sort(due.begin(), due.end());
+    for (const auto& [sent, peer] : due)
+    {
+        if (targets.size() >= this->options.targets_per_round)
+        {
+            return;
+        }
+        peer->last_sent = now;
+        targets.push_back(peer->info);
+    }
+}
+
 peer_digest member_table::make_digest(peer_phase phase, std::uint64_t revision,
                                       std::uint32_t free_slots,
                                       std::uint32_t queued_tasks)
 {
-    constexpr std::size_t most_silent = peer_digest::max_observations / 2;
+    // Suspects are of use to everyone; of the others two suffice, because they
+    // are passed on in rotation.
+    constexpr std::size_t most_silent = peer_digest::max_observations - 2;
+    constexpr std::size_t most_others = 2;
     peer_digest digest{this->own.name,
                        this->own.domain,
                        this->incarnation,
@@ -538,11 +578,10 @@
             add(peer);
         }
     }
+    const std::size_t most = digest.observations.size() + most_others;
     auto at = this->records.upper_bound(this->observation_cursor);
     for (std::size_t i = 0;
-         i < this->records.size() &&
-         digest.observations.size() < peer_digest::max_observations;
-         ++i)
+         i < this->records.size() && digest.observations.size() < most; ++i)
     {
         at = at == this->records.end() ? this->records.begin() : at;
         const peer_record& peer = at->second;
--- a/src/libjujubedrum/membership/member_table.hpp
+++ b/src/libjujubedrum/membership/member_table.hpp
@@ -151,6 +151,9 @@
     void refresh_all(instant now);
     void refresh_domains(instant now);
     void credit_own_pause(instant now);
+    [[nodiscard]] std::vector<instance_info> calm_round(instant now);
+    void add_doubtful(std::vector<instance_info>& targets, instant now);
+    [[nodiscard]] bool doubtful(const peer_record& peer) const;
     [[nodiscard]] std::uint64_t heartbeat_weight(const peer_record&) const;
     [[nodiscard]] microseconds pass_time(const peer_record& peer) const;
     [[nodiscard]] bool gone_is_proof(const peer_record&, instant since) const;
@@ -173,6 +176,7 @@
     std::optional<instant> last_tick;
     std::optional<instant> last_round;
     std::uint64_t total_weight = 0;
+    double last_turn = 0;
     std::uint64_t heartbeat = 0;
     std::uint64_t generation = 0;
     std::string observation_cursor;
--- a/src/libjujubedrum/membership/membership_error.hpp
+++ b/src/libjujubedrum/membership/membership_error.hpp
@@ -12,7 +12,9 @@
     /// The list page is not JSON or lacks a required field.
     malformed_page,
     /// The list page is larger than an installation can be.
-    page_too_large
+    page_too_large,
+    /// A heartbeat's digest is truncated or has a value out of range.
+    malformed_digest
 };
 
 using membership_reason = basic_reason<membership_error>;
--- a/src/libjujubedrum/membership/peer_record.hpp
+++ b/src/libjujubedrum/membership/peer_record.hpp
@@ -34,16 +34,24 @@
     /// Start of the current silence; suspicion uses this one.
     instant silence_from{0};
     instant last_sent{0};
+    /// Position in the order of calm heartbeats; the lowest is next.
+    double turn = 0;
     std::uint64_t counter = 0;
     std::uint64_t revision = 0;
-    /// Mean and deviation of the time between contacts, in microseconds.
-    double gap_mean = 0;
-    double gap_deviation = 0;
+    /// Mean and deviation of the pauses that the peer came back from, in
+    /// microseconds.
+    double pause_mean = 0;
+    double pause_deviation = 0;
 
-    /// Takes the time since the last contact into the adaptive estimate.
-    void note_gap(microseconds gap);
+    /// Takes in a contact after failed heartbeats.
+    /// \param pause the silence before the contact.
+    void note_pause(microseconds pause);
 
-    /// Returns the silence that is usual for this peer, with a margin.
+    /// Takes in a contact without failures before it.
+    void note_calm();
+
+    /// Returns the silence that is usual for this peer, with a margin; at most
+    /// 6 s. It is 0 for a peer that never pauses.
     [[nodiscard]] microseconds usual_silence() const;
 };
 
--- a/src/libruntime/peer.capnp
+++ b/src/libruntime/peer.capnp
@@ -4,41 +4,6 @@
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("jujubedrum::wire");
 
-enum Phase {
-  starting @0;
-  ready @1;
-  leaving @2;
-}
-
-enum State {
-  alive @0;
-  suspect @1;
-  unreachable @2;
-  dead @3;
-  leaving @4;
-}
-
-struct Observation {
-  name @0 :Text;
-  incarnation @1 :UInt64;
-  heartbeat @2 :UInt64;
-  state @3 :State;
-  revision @4 :UInt64;
-}
-
-struct Digest {
-  name @0 :Text;
-  domain @1 :Text;
-  incarnation @2 :UInt64;
-  phase @3 :Phase;
-  heartbeat @4 :UInt64;
-  revision @5 :UInt64;
-  freeSlots @6 :UInt32;
-  queuedTasks @7 :UInt32;
-  heldGrants @8 :List(UInt64);
-  observations @9 :List(Observation);
-}
-
 struct Grant {
   id @0 :UInt64;
   server @1 :Text;
@@ -57,7 +22,11 @@
 }
 
 interface Peer {
-  heartbeat @0 (digest :Digest) -> (digest :Digest, failure :Failure);
+  heartbeat @0 (digest :Data) -> (digest :Data, failure :Failure);
+  # The compact form of digest_codec.hpp. As Cap'n Proto structs the digests
+  # took 576 bytes instead of about 130, and heartbeats are most of the control
+  # traffic.
+
   borrow @1 (borrower :Text, incarnation :UInt64, count :UInt32,
              minimumSpeed :Float64)
       -> (grants :List(Grant), failure :Failure);
--- a/src/libruntime/peer.capnp.h
+++ b/src/libruntime/peer.capnp.h
@@ -19,24 +19,6 @@
 namespace capnp {
 namespace schemas {
 
-CAPNP_DECLARE_SCHEMA(911fee009fa194ac);
-enum class Phase_911fee009fa194ac: uint16_t {
-  STARTING,
-  READY,
-  LEAVING,
-};
-CAPNP_DECLARE_ENUM(Phase, 911fee009fa194ac);
-CAPNP_DECLARE_SCHEMA(dbb4ca8e76d5a0e0);
-enum class State_dbb4ca8e76d5a0e0: uint16_t {
-  ALIVE,
-  SUSPECT,
-  UNREACHABLE,
-  DEAD,
-  LEAVING,
-};
-CAPNP_DECLARE_ENUM(State, dbb4ca8e76d5a0e0);
-CAPNP_DECLARE_SCHEMA(f81d246010ec45d9);
-CAPNP_DECLARE_SCHEMA(a2feb9f440c0f6bb);
 CAPNP_DECLARE_SCHEMA(cbbafa75d6d58724);
 CAPNP_DECLARE_SCHEMA(a75b0dd7b298b443);
 CAPNP_DECLARE_SCHEMA(c2864fbca60749c7);
@@ -62,40 +44,6 @@
 namespace jujubedrum {
 namespace wire {
 
-typedef ::capnp::schemas::Phase_911fee009fa194ac Phase;
-
-typedef ::capnp::schemas::State_dbb4ca8e76d5a0e0 State;
-
-struct Observation {
-  Observation() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f81d246010ec45d9, 4, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Digest {
-  Digest() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a2feb9f440c0f6bb, 5, 4)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
 struct Grant {
   Grant() = delete;
 
@@ -384,249 +332,6 @@
 
 // =======================================================================================
 
-class Observation::Reader {
-public:
-  typedef Observation Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
-
-  inline  ::uint64_t getIncarnation() const;
-
-  inline  ::uint64_t getHeartbeat() const;
-
-  inline  ::jujubedrum::wire::State getState() const;
-
-  inline  ::uint64_t getRevision() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Observation::Builder {
-public:
-  typedef Observation Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline  ::uint64_t getHeartbeat();
-  inline void setHeartbeat( ::uint64_t value);
-
-  inline  ::jujubedrum::wire::State getState();
-  inline void setState( ::jujubedrum::wire::State value);
-
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Observation::Pipeline {
-public:
-  typedef Observation Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Digest::Reader {
-public:
-  typedef Digest Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
-
-  inline bool hasDomain() const;
-  inline  ::capnp::Text::Reader getDomain() const;
-
-  inline  ::uint64_t getIncarnation() const;
-
-  inline  ::jujubedrum::wire::Phase getPhase() const;
-
-  inline  ::uint64_t getHeartbeat() const;
-
-  inline  ::uint64_t getRevision() const;
-
-  inline  ::uint32_t getFreeSlots() const;
-
-  inline  ::uint32_t getQueuedTasks() const;
-
-  inline bool hasHeldGrants() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getHeldGrants() const;
-
-  inline bool hasObservations() const;
-  inline  ::capnp::List< ::jujubedrum::wire::Observation,  ::capnp::Kind::STRUCT>::Reader getObservations() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Digest::Builder {
-public:
-  typedef Digest Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
-
-  inline bool hasDomain();
-  inline  ::capnp::Text::Builder getDomain();
-  inline void setDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDomain(unsigned int size);
-  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline  ::jujubedrum::wire::Phase getPhase();
-  inline void setPhase( ::jujubedrum::wire::Phase value);
-
-  inline  ::uint64_t getHeartbeat();
-  inline void setHeartbeat( ::uint64_t value);
-
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
-
-  inline  ::uint32_t getFreeSlots();
-  inline void setFreeSlots( ::uint32_t value);
-
-  inline  ::uint32_t getQueuedTasks();
-  inline void setQueuedTasks( ::uint32_t value);
-
-  inline bool hasHeldGrants();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getHeldGrants();
-  inline void setHeldGrants( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setHeldGrants(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initHeldGrants(unsigned int size);
-  inline void adoptHeldGrants(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownHeldGrants();
-
-  inline bool hasObservations();
-  inline  ::capnp::List< ::jujubedrum::wire::Observation,  ::capnp::Kind::STRUCT>::Builder getObservations();
-  inline void setObservations( ::capnp::List< ::jujubedrum::wire::Observation,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::jujubedrum::wire::Observation,  ::capnp::Kind::STRUCT>::Builder initObservations(unsigned int size);
-  inline void adoptObservations(::capnp::Orphan< ::capnp::List< ::jujubedrum::wire::Observation,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::jujubedrum::wire::Observation,  ::capnp::Kind::STRUCT>> disownObservations();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Digest::Pipeline {
-public:
-  typedef Digest Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
 class Grant::Reader {
 public:
   typedef Grant Reads;
@@ -1002,7 +707,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasDigest() const;
-  inline  ::jujubedrum::wire::Digest::Reader getDigest() const;
+  inline  ::capnp::Data::Reader getDigest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1033,11 +738,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasDigest();
-  inline  ::jujubedrum::wire::Digest::Builder getDigest();
-  inline void setDigest( ::jujubedrum::wire::Digest::Reader value);
-  inline  ::jujubedrum::wire::Digest::Builder initDigest();
-  inline void adoptDigest(::capnp::Orphan< ::jujubedrum::wire::Digest>&& value);
-  inline ::capnp::Orphan< ::jujubedrum::wire::Digest> disownDigest();
+  inline  ::capnp::Data::Builder getDigest();
+  inline void setDigest( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDigest(unsigned int size);
+  inline void adoptDigest(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDigest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1057,7 +762,6 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::jujubedrum::wire::Digest::Pipeline getDigest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1084,7 +788,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasDigest() const;
-  inline  ::jujubedrum::wire::Digest::Reader getDigest() const;
+  inline  ::capnp::Data::Reader getDigest() const;
 
   inline bool hasFailure() const;
   inline  ::jujubedrum::wire::Failure::Reader getFailure() const;
@@ -1118,11 +822,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasDigest();
-  inline  ::jujubedrum::wire::Digest::Builder getDigest();
-  inline void setDigest( ::jujubedrum::wire::Digest::Reader value);
-  inline  ::jujubedrum::wire::Digest::Builder initDigest();
-  inline void adoptDigest(::capnp::Orphan< ::jujubedrum::wire::Digest>&& value);
-  inline ::capnp::Orphan< ::jujubedrum::wire::Digest> disownDigest();
+  inline  ::capnp::Data::Builder getDigest();
+  inline void setDigest( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDigest(unsigned int size);
+  inline void adoptDigest(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDigest();
 
   inline bool hasFailure();
   inline  ::jujubedrum::wire::Failure::Builder getFailure();
@@ -1149,7 +853,6 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::jujubedrum::wire::Digest::Pipeline getDigest();
   inline  ::jujubedrum::wire::Failure::Pipeline getFailure();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -2235,320 +1938,6 @@
 
 // =======================================================================================
 
-inline bool Observation::Reader::hasName() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Observation::Builder::hasName() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Observation::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Observation::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Observation::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Observation::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Observation::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Observation::Builder::disownName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t Observation::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Observation::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Observation::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Observation::Reader::getHeartbeat() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Observation::Builder::getHeartbeat() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Observation::Builder::setHeartbeat( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::jujubedrum::wire::State Observation::Reader::getState() const {
-  return _reader.getDataField< ::jujubedrum::wire::State>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-
-inline  ::jujubedrum::wire::State Observation::Builder::getState() {
-  return _builder.getDataField< ::jujubedrum::wire::State>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-inline void Observation::Builder::setState( ::jujubedrum::wire::State value) {
-  _builder.setDataField< ::jujubedrum::wire::State>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Observation::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Observation::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Observation::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Digest::Reader::hasName() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Digest::Builder::hasName() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Digest::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Digest::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Digest::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Digest::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Digest::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Digest::Builder::disownName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Digest::Reader::hasDomain() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Digest::Builder::hasDomain() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Digest::Reader::getDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Digest::Builder::getDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Digest::Builder::setDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Digest::Builder::initDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Digest::Builder::adoptDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Digest::Builder::disownDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t Digest::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Digest::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Digest::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::jujubedrum::wire::Phase Digest::Reader::getPhase() const {
-  return _reader.getDataField< ::jujubedrum::wire::Phase>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::jujubedrum::wire::Phase Digest::Builder::getPhase() {
-  return _builder.getDataField< ::jujubedrum::wire::Phase>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Digest::Builder::setPhase( ::jujubedrum::wire::Phase value) {
-  _builder.setDataField< ::jujubedrum::wire::Phase>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Digest::Reader::getHeartbeat() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Digest::Builder::getHeartbeat() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Digest::Builder::setHeartbeat( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Digest::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Digest::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Digest::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Digest::Reader::getFreeSlots() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Digest::Builder::getFreeSlots() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Digest::Builder::setFreeSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Digest::Reader::getQueuedTasks() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Digest::Builder::getQueuedTasks() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-inline void Digest::Builder::setQueuedTasks( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Digest::Reader::hasHeldGrants() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Digest::Builder::hasHeldGrants() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Digest::Reader::getHeldGrants() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Digest::Builder::getHeldGrants() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Digest::Builder::setHeldGrants( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline void Digest::Builder::setHeldGrants(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Digest::Builder::initHeldGrants(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void Digest::Builder::adoptHeldGrants(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Digest::Builder::disownHeldGrants() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool Digest::Reader::hasObservations() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool Digest::Builder::hasObservations() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::jujubedrum::wire::Observation,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getObservations() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::Observation,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::jujubedrum::wire::Observation,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getObservations() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::Observation,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void Digest::Builder::setObservations( ::capnp::List< ::jujubedrum::wire::Observation,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::Observation,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::jujubedrum::wire::Observation,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initObservations(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::Observation,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void Digest::Builder::adoptObservations(
-    ::capnp::Orphan< ::capnp::List< ::jujubedrum::wire::Observation,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::Observation,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::jujubedrum::wire::Observation,  ::capnp::Kind::STRUCT>> Digest::Builder::disownObservations() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::Observation,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
 inline  ::uint64_t Grant::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2753,34 +2142,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::jujubedrum::wire::Digest::Reader Peer::HeartbeatParams::Reader::getDigest() const {
-  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Digest>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader Peer::HeartbeatParams::Reader::getDigest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::jujubedrum::wire::Digest::Builder Peer::HeartbeatParams::Builder::getDigest() {
-  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Digest>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder Peer::HeartbeatParams::Builder::getDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::jujubedrum::wire::Digest::Pipeline Peer::HeartbeatParams::Pipeline::getDigest() {
-  return  ::jujubedrum::wire::Digest::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::HeartbeatParams::Builder::setDigest( ::jujubedrum::wire::Digest::Reader value) {
-  ::capnp::_::PointerHelpers< ::jujubedrum::wire::Digest>::set(_builder.getPointerField(
+inline void Peer::HeartbeatParams::Builder::setDigest( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::jujubedrum::wire::Digest::Builder Peer::HeartbeatParams::Builder::initDigest() {
-  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Digest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Peer::HeartbeatParams::Builder::initDigest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Peer::HeartbeatParams::Builder::adoptDigest(
-    ::capnp::Orphan< ::jujubedrum::wire::Digest>&& value) {
-  ::capnp::_::PointerHelpers< ::jujubedrum::wire::Digest>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::jujubedrum::wire::Digest> Peer::HeartbeatParams::Builder::disownDigest() {
-  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Digest>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> Peer::HeartbeatParams::Builder::disownDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -2792,34 +2176,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::jujubedrum::wire::Digest::Reader Peer::HeartbeatResults::Reader::getDigest() const {
-  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Digest>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader Peer::HeartbeatResults::Reader::getDigest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::jujubedrum::wire::Digest::Builder Peer::HeartbeatResults::Builder::getDigest() {
-  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Digest>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder Peer::HeartbeatResults::Builder::getDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::jujubedrum::wire::Digest::Pipeline Peer::HeartbeatResults::Pipeline::getDigest() {
-  return  ::jujubedrum::wire::Digest::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::HeartbeatResults::Builder::setDigest( ::jujubedrum::wire::Digest::Reader value) {
-  ::capnp::_::PointerHelpers< ::jujubedrum::wire::Digest>::set(_builder.getPointerField(
+inline void Peer::HeartbeatResults::Builder::setDigest( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::jujubedrum::wire::Digest::Builder Peer::HeartbeatResults::Builder::initDigest() {
-  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Digest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Peer::HeartbeatResults::Builder::initDigest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Peer::HeartbeatResults::Builder::adoptDigest(
-    ::capnp::Orphan< ::jujubedrum::wire::Digest>&& value) {
-  ::capnp::_::PointerHelpers< ::jujubedrum::wire::Digest>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::jujubedrum::wire::Digest> Peer::HeartbeatResults::Builder::disownDigest() {
-  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Digest>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> Peer::HeartbeatResults::Builder::disownDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- a/src/libruntime/peer_calls.cpp
+++ b/src/libruntime/peer_calls.cpp
@@ -1,5 +1,6 @@
 #include "peer_calls.hpp"
 
+#include "membership/digest_codec.hpp"
 #include "peer_convert.hpp"
 
 #include <type_traits>
@@ -66,7 +67,8 @@
         overloaded{[&](const heartbeat_request& from)
                    {
                        auto request = peer.heartbeatRequest();
-                       write_digest(request.initDigest(), from.digest);
+                       const std::string digest = encode_digest(from.digest);
+                       request.setDigest(to_data(digest));
                        return send(kj::mv(request), call, meter,
                                    [](auto& response) -> peer_reply {
                                        return heartbeat_reply{
--- a/src/libruntime/peer_convert.cpp
+++ b/src/libruntime/peer_convert.cpp
@@ -1,6 +1,11 @@
 #include "peer_convert.hpp"
 
+#include "membership/digest_codec.hpp"
+
 #include <algorithm>
+#include <utility>
+
+#include <kj/debug.h>
 
 namespace jujubedrum
 {
@@ -10,36 +15,6 @@
 
 constexpr unsigned max_list = 4096;
 
-peer_phase read_phase(wire::Phase from)
-{
-    switch (from)
-    {
-    case wire::Phase::READY:
-        return peer_phase::ready;
-    case wire::Phase::LEAVING:
-        return peer_phase::leaving;
-    default:
-        return peer_phase::starting;
-    }
-}
-
-peer_state read_state(wire::State from)
-{
-    switch (from)
-    {
-    case wire::State::ALIVE:
-        return peer_state::alive;
-    case wire::State::UNREACHABLE:
-        return peer_state::unreachable;
-    case wire::State::DEAD:
-        return peer_state::dead;
-    case wire::State::LEAVING:
-        return peer_state::leaving;
-    default:
-        return peer_state::suspect;
-    }
-}
-
 } // namespace
 
 capnp::Text::Reader to_text(const std::string& from)
@@ -52,65 +27,22 @@
     return {from.begin(), from.size()};
 }
 
-void write_digest(wire::Digest::Builder to, const peer_digest& from)
+capnp::Data::Reader to_data(const std::string& from)
 {
-    to.setName(to_text(from.name));
-    to.setDomain(to_text(from.domain));
-    to.setIncarnation(from.incarnation);
-    to.setPhase(static_cast<wire::Phase>(from.phase));
-    to.setHeartbeat(from.heartbeat);
-    to.setRevision(from.revision);
-    to.setFreeSlots(from.free_slots);
-    to.setQueuedTasks(from.queued_tasks);
-    const auto grants =
-        std::min(from.held_grants.size(), peer_digest::max_held_grants);
-    auto held = to.initHeldGrants(static_cast<unsigned>(grants));
-    for (unsigned i = 0; i < held.size(); ++i)
-    {
-        held.set(i, from.held_grants[i]);
-    }
-    const auto seen =
-        std::min(from.observations.size(), peer_digest::max_observations);
-    auto observations = to.initObservations(static_cast<unsigned>(seen));
-    for (unsigned i = 0; i < observations.size(); ++i)
-    {
-        const peer_observation& observation = from.observations[i];
-        observations[i].setName(to_text(observation.name));
-        observations[i].setIncarnation(observation.incarnation);
-        observations[i].setHeartbeat(observation.heartbeat);
-        observations[i].setState(static_cast<wire::State>(observation.state));
-        observations[i].setRevision(observation.revision);
-    }
+    return {reinterpret_cast<const kj::byte*>(from.data()), from.size()};
 }
 
-peer_digest read_digest(wire::Digest::Reader from)
+std::string_view from_data(capnp::Data::Reader from)
 {
-    peer_digest digest;
-    digest.name = from_text(from.getName());
-    digest.domain = from_text(from.getDomain());
-    digest.incarnation = from.getIncarnation();
-    digest.phase = read_phase(from.getPhase());
-    digest.heartbeat = from.getHeartbeat();
-    digest.revision = from.getRevision();
-    digest.free_slots = from.getFreeSlots();
-    digest.queued_tasks = from.getQueuedTasks();
-    digest.held_grants = read_ids(from.getHeldGrants());
-    if (digest.held_grants.size() > peer_digest::max_held_grants)
-    {
-        digest.held_grants.resize(peer_digest::max_held_grants);
-    }
-    for (const auto observation : from.getObservations())
-    {
-        if (digest.observations.size() >= peer_digest::max_observations)
-        {
-            break;
-        }
-        digest.observations.push_back(
-            {from_text(observation.getName()), observation.getIncarnation(),
-             observation.getHeartbeat(), read_state(observation.getState()),
-             observation.getRevision()});
-    }
-    return digest;
+    return {reinterpret_cast<const char*>(from.begin()), from.size()};
+}
+
+peer_digest read_digest(capnp::Data::Reader from)
+{
+    membership_reason why;
+    auto digest = decode_digest(from_data(from), why);
+    KJ_REQUIRE(digest.has_value(), "malformed digest");
+    return std::move(*digest);
 }
 
 void write_grants(capnp::List<wire::Grant>::Builder to,
--- a/src/libruntime/peer_convert.hpp
+++ b/src/libruntime/peer_convert.hpp
@@ -5,16 +5,20 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jujubedrum
 {
 
 /// Conversions between value types and the wire. Reading truncates lists at
-/// their bounds and maps unknown enumerators to the most cautious known one.
+/// their bounds.
 
-void write_digest(wire::Digest::Builder to, const peer_digest& from);
-[[nodiscard]] peer_digest read_digest(wire::Digest::Reader from);
+[[nodiscard]] capnp::Data::Reader to_data(const std::string& from);
+[[nodiscard]] std::string_view from_data(capnp::Data::Reader from);
+
+/// Throws a kj::Exception if the digest is malformed.
+[[nodiscard]] peer_digest read_digest(capnp::Data::Reader from);
 
 void write_grants(capnp::List<wire::Grant>::Builder to,
                   const std::vector<slot_grant>& from);
--- a/src/libruntime/peer_service.cpp
+++ b/src/libruntime/peer_service.cpp
@@ -1,6 +1,7 @@
 #include "peer_service.hpp"
 
 #include "logging.hpp"
+#include "membership/digest_codec.hpp"
 #include "peer_convert.hpp"
 #include "pending_reply.hpp"
 
@@ -136,7 +137,7 @@
         [](auto params)
         { return heartbeat_request{read_digest(params.getDigest())}; },
         [](auto results, const heartbeat_reply& reply)
-        { write_digest(results.initDigest(), reply.digest); });
+        { results.setDigest(to_data(encode_digest(reply.digest))); });
 }
 
 kj::Promise<void> peer_service::borrow(BorrowContext context)
