--- /dev/null
+++ b/src/libruntime/peer_convert.cpp
@@ -0,0 +1,126 @@
+#include "peer_convert.hpp"
+
+#include "membership/digest_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <kj/debug.h>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+constexpr unsigned max_list = 4096;
+
+} // namespace
+
+capnp::Text::Reader to_text(const std::string& from)
+{
+    return {from.c_str(), from.size()};
+}
+
+std::string from_text(capnp::Text::Reader from)
+{
+    return {from.begin(), from.size()};
+}
+
+capnp::Data::Reader to_data(const std::string& from)
+{
+    return {reinterpret_cast<const kj::byte*>(from.data()), from.size()};
+}
+
+std::string_view from_data(capnp::Data::Reader from)
+{
+    return {reinterpret_cast<const char*>(from.begin()), from.size()};
+}
+
+peer_digest read_digest(capnp::Data::Reader from)
+{
+    membership_reason why;
+    auto digest = decode_digest(from_data(from), why);
+    KJ_REQUIRE(digest.has_value(), "malformed digest");
+    return std::move(*digest);
+}
+
+void write_grants(capnp::List<wire::Grant>::Builder to,
+                  const std::vector<slot_grant>& from)
+{
+    for (unsigned i = 0; i < to.size(); ++i)
+    {
+        to[i].setId(from[i].id);
+        to[i].setServer(to_text(from[i].server));
+        to[i].setSlots(from[i].slots);
+    }
+}
+
+std::vector<slot_grant> read_grants(capnp::List<wire::Grant>::Reader from)
+{
+    std::vector<slot_grant> grants;
+    for (unsigned i = 0; i < std::min(from.size(), max_list); ++i)
+    {
+        grants.push_back({from[i].getId(), from_text(from[i].getServer()),
+                          from[i].getSlots()});
+    }
+    return grants;
+}
+
+void write_ids(capnp::List<std::uint64_t>::Builder to,
+               const std::vector<std::uint64_t>& from)
+{
+    for (unsigned i = 0; i < to.size(); ++i)
+    {
+        to.set(i, from[i]);
+    }
+}
+
+std::vector<std::uint64_t> read_ids(capnp::List<std::uint64_t>::Reader from)
+{
+    std::vector<std::uint64_t> ids;
+    for (unsigned i = 0; i < std::min(from.size(), max_list); ++i)
+    {
+        ids.push_back(from[i]);
+    }
+    return ids;
+}
+
+void write_records(capnp::List<wire::Record>::Builder to,
+                   const std::vector<stream_record>& from)
+{
+    for (unsigned i = 0; i < to.size(); ++i)
+    {
+        to[i].setOffset(from[i].offset);
+        to[i].setData(to_text(from[i].data));
+    }
+}
+
+std::vector<stream_record> read_records(capnp::List<wire::Record>::Reader from)
+{
+    std::vector<stream_record> records;
+    for (unsigned i = 0; i < std::min(from.size(), max_list); ++i)
+    {
+        records.push_back({from[i].getOffset(), from_text(from[i].getData())});
+    }
+    return records;
+}
+
+void write_failure(wire::Failure::Builder to, const peer_failure& from)
+{
+    to.setError(static_cast<std::uint16_t>(from.error));
+    to.setMayHaveRun(from.delivery == peer_delivery::unknown);
+    to.setText(to_text(from.text));
+}
+
+peer_failure read_failure(wire::Failure::Reader from)
+{
+    const bool overloaded =
+        from.getError() == static_cast<std::uint16_t>(peer_error::overloaded);
+    return {overloaded ? peer_error::overloaded : peer_error::refused,
+            from.getMayHaveRun() ? peer_delivery::unknown
+                                 : peer_delivery::not_sent,
+            from_text(from.getText())};
+}
+
+} // namespace jujubedrum
