--- a/src/jujubedrumctl/command_line.cpp
+++ b/src/jujubedrumctl/command_line.cpp
@@ -13,6 +13,7 @@
 std::vector<option> long_options(const std::vector<option_spec>& specs)
 {
     std::vector<option> options;
+    options.reserve(specs.size() + 1);
     for (const option_spec& spec : specs)
     {
         options.push_back({spec.name.c_str(),
@@ -52,10 +53,11 @@
             return std::nullopt;
         }
         const option_spec& spec = specs[static_cast<std::size_t>(index)];
-        line.values[spec.name] = optarg == nullptr ? "" : optarg;
-        if (spec.type == option_spec::kind::number && !is_number(optarg))
+        const std::string value = optarg == nullptr ? "" : optarg;
+        line.values[spec.name] = value;
+        if (spec.type == option_spec::kind::number && !is_number(value))
         {
-            why = "--" + spec.name + ": not a number: " + optarg;
+            why = "--" + spec.name + ": not a number: " + value;
             return std::nullopt;
         }
     }
--- /dev/null
+++ b/src/libruntime/platform_replies.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "platform_types.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace jujubedrum
+{
+
+/// Returns the offset in the reply to an append; nothing if it is malformed.
+[[nodiscard]] std::optional<std::uint64_t>
+parse_append_reply(const std::string& text);
+
+/// Returns the page of records in a reply; nothing if it is malformed.
+[[nodiscard]] std::optional<records_page>
+parse_records_page(const std::string& text);
+
+/// Returns the list of instances in a reply; nothing if it is malformed.
+[[nodiscard]] std::optional<list_page> parse_list_page(const std::string& text);
+
+} // namespace jujubedrum
