Rotate team keys in the random configuration schedule

Change: the schedule replaces a team key now and then, and takes its seed from JUJUBEDRUM_TEST_SEED if set.

--- a/tests/unit/config/config_fold_test.cpp
+++ b/tests/unit/config/config_fold_test.cpp
@@ -1,6 +1,7 @@
 #include "base/random_source.hpp"
 #include "config_fixture.hpp"
 
+#include <cstdlib>
 #include <iostream>
 
 #include <boost/test/unit_test.hpp>
@@ -234,7 +235,9 @@
 // makes two readers disagree or a revision fall.
 BOOST_AUTO_TEST_CASE(random_schedule_all_readers_agree)
 {
-    const std::uint64_t seed = 20261204;
+    const char* given = std::getenv("JUJUBEDRUM_TEST_SEED");
+    const std::uint64_t seed =
+        given == nullptr ? 20261204 : std::strtoull(given, nullptr, 10);
     std::cout << "config_fold seed=" << seed << "\n";
     random_source random(seed);
     const std::vector<std::string> sections = {"system", "teams/rake",
@@ -243,6 +246,10 @@
     for (int step = 0; step < 400; ++step)
     {
         const std::string section = sections[random.below(3)];
+        if (section == "system" && random.below(3) == 0)
+        {
+            this->rake = key_pair::generate(this->why).value();
+        }
         const bool by_admin = section == "system" || random.below(4) == 0;
         const key_pair& key = by_admin                  ? this->admin
                               : random.below(8) == 0    ? this->admin
