--- a/tests/unit/config/config_fold_test.cpp
+++ b/tests/unit/config/config_fold_test.cpp
@@ -276,6 +276,10 @@
         else if (action == 7)
         {
             record = this->fold.make_snapshot().value();
+            config_fold same(this->admin.public_key());
+            BOOST_REQUIRE((same.adopt_snapshot(record) ==
+                           edit_verdict::snapshot_applied));
+            BOOST_REQUIRE((same.document() == this->fold.document()));
         }
         this->append(record);
         BOOST_REQUIRE(this->fold.revision() >= revision);
