--- a/src/libruntime/peer.capnp
+++ b/src/libruntime/peer.capnp
@@ -4,10 +4,23 @@
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("jujubedrum::wire");
 
+struct SlotCount {
+  server @0 :Text;
+  count @1 :UInt32;
+}
+
 struct Grant {
-  id @0 :UInt64;
-  server @1 :Text;
-  slots @2 :UInt32;
+  sequence @0 :UInt64;
+  slots @1 :List(SlotCount);
+}
+
+struct GrantReport {
+  borrower @0 :Text;
+  # Empty in a heartbeat, whose digest names the sender.
+  through @1 :UInt64;
+  held @2 :List(Grant);
+  open @3 :List(UInt64);
+  free @4 :UInt32;
 }
 
 struct Record {
@@ -22,20 +35,22 @@
 }
 
 interface Peer {
-  heartbeat @0 (digest :Data) -> (digest :Data, failure :Failure);
+  heartbeat @0 (digest :Data, grants :GrantReport)
+      -> (digest :Data, revoked :List(UInt64), failure :Failure);
   # The compact form of digest_codec.hpp. As Cap'n Proto structs the digests
   # took 576 bytes instead of about 130, and heartbeats are most of the control
   # traffic.
 
-  borrow @1 (borrower :Text, incarnation :UInt64, count :UInt32,
-             minimumSpeed :Float64)
-      -> (grants :List(Grant), failure :Failure);
-  giveBack @2 (borrower :Text, incarnation :UInt64, grants :List(UInt64))
-      -> (failure :Failure);
+  borrow @1 (borrower :Text, sequence :UInt64, needed :UInt32, wanted :UInt32,
+             free :UInt32)
+      -> (lender :Text, grant :Grant, free :UInt32, failure :Failure);
+  giveBack @2 (grants :GrantReport)
+      -> (revoked :List(UInt64), failure :Failure);
   submit @3 (job :Text, remainingUs :Int64, hops :UInt32)
-      -> (outcome :Text, failure :Failure);
-  collect @4 (id :Text, waitUs :Int64) -> (outcome :Text, failure :Failure);
-  cancel @5 (id :Text) -> (known :Bool, failure :Failure);
-  configRecords @6 (from :UInt64, max :UInt32)
-      -> (next :UInt64, records :List(Record), failure :Failure);
+      -> (body :Text, failure :Failure);
+  collect @4 (id :Text, team :Text, waitUs :Int64)
+      -> (body :Text, failure :Failure);
+  cancel @5 (id :Text, team :Text) -> (body :Text, failure :Failure);
+  configRecords @6 (from :UInt64)
+      -> (records :List(Record), failure :Failure);
 }
--- a/src/libruntime/peer.capnp.h
+++ b/src/libruntime/peer.capnp.h
@@ -19,7 +19,9 @@
 namespace capnp {
 namespace schemas {
 
+CAPNP_DECLARE_SCHEMA(dbd8c8d029f2ce3e);
 CAPNP_DECLARE_SCHEMA(cbbafa75d6d58724);
+CAPNP_DECLARE_SCHEMA(b73410c6269b3594);
 CAPNP_DECLARE_SCHEMA(a75b0dd7b298b443);
 CAPNP_DECLARE_SCHEMA(c2864fbca60749c7);
 CAPNP_DECLARE_SCHEMA(81681b709bc30573);
@@ -44,6 +46,21 @@
 namespace jujubedrum {
 namespace wire {
 
+struct SlotCount {
+  SlotCount() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dbd8c8d029f2ce3e, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Grant {
   Grant() = delete;
 
@@ -52,7 +69,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cbbafa75d6d58724, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(cbbafa75d6d58724, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GrantReport {
+  GrantReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b73410c6269b3594, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -128,7 +160,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(833dc1f64fff0435, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(833dc1f64fff0435, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -143,7 +175,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8ae49b645b698d61, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(8ae49b645b698d61, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -173,7 +205,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c34eec6dd585263e, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c34eec6dd585263e, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -188,7 +220,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ddbb833e123f7a29, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ddbb833e123f7a29, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -203,7 +235,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d7a2462ef52a181c, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d7a2462ef52a181c, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -248,7 +280,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f67a522b97eda833, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(f67a522b97eda833, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -278,7 +310,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea9c5605cf2e85f1, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ea9c5605cf2e85f1, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -293,7 +325,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dab56c10b17a5ceb, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(dab56c10b17a5ceb, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -308,7 +340,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9da163067fe68175, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(9da163067fe68175, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -323,7 +355,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da550e45ec335ff5, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(da550e45ec335ff5, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -332,9 +364,9 @@
 
 // =======================================================================================
 
-class Grant::Reader {
+class SlotCount::Reader {
 public:
-  typedef Grant Reads;
+  typedef SlotCount Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -349,12 +381,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId() const;
-
   inline bool hasServer() const;
   inline  ::capnp::Text::Reader getServer() const;
 
-  inline  ::uint32_t getSlots() const;
+  inline  ::uint32_t getCount() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -368,9 +398,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Grant::Builder {
+class SlotCount::Builder {
 public:
-  typedef Grant Builds;
+  typedef SlotCount Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -384,9 +414,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId();
-  inline void setId( ::uint64_t value);
-
   inline bool hasServer();
   inline  ::capnp::Text::Builder getServer();
   inline void setServer( ::capnp::Text::Reader value);
@@ -394,8 +421,94 @@
   inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownServer();
 
-  inline  ::uint32_t getSlots();
-  inline void setSlots( ::uint32_t value);
+  inline  ::uint32_t getCount();
+  inline void setCount( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SlotCount::Pipeline {
+public:
+  typedef SlotCount Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Grant::Reader {
+public:
+  typedef Grant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSequence() const;
+
+  inline bool hasSlots() const;
+  inline  ::capnp::List< ::jujubedrum::wire::SlotCount,  ::capnp::Kind::STRUCT>::Reader getSlots() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Grant::Builder {
+public:
+  typedef Grant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool hasSlots();
+  inline  ::capnp::List< ::jujubedrum::wire::SlotCount,  ::capnp::Kind::STRUCT>::Builder getSlots();
+  inline void setSlots( ::capnp::List< ::jujubedrum::wire::SlotCount,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::jujubedrum::wire::SlotCount,  ::capnp::Kind::STRUCT>::Builder initSlots(unsigned int size);
+  inline void adoptSlots(::capnp::Orphan< ::capnp::List< ::jujubedrum::wire::SlotCount,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::jujubedrum::wire::SlotCount,  ::capnp::Kind::STRUCT>> disownSlots();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -423,6 +536,118 @@
 };
 #endif  // !CAPNP_LITE
 
+class GrantReport::Reader {
+public:
+  typedef GrantReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBorrower() const;
+  inline  ::capnp::Text::Reader getBorrower() const;
+
+  inline  ::uint64_t getThrough() const;
+
+  inline bool hasHeld() const;
+  inline  ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>::Reader getHeld() const;
+
+  inline bool hasOpen() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getOpen() const;
+
+  inline  ::uint32_t getFree() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GrantReport::Builder {
+public:
+  typedef GrantReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBorrower();
+  inline  ::capnp::Text::Builder getBorrower();
+  inline void setBorrower( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBorrower(unsigned int size);
+  inline void adoptBorrower(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBorrower();
+
+  inline  ::uint64_t getThrough();
+  inline void setThrough( ::uint64_t value);
+
+  inline bool hasHeld();
+  inline  ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>::Builder getHeld();
+  inline void setHeld( ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>::Builder initHeld(unsigned int size);
+  inline void adoptHeld(::capnp::Orphan< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>> disownHeld();
+
+  inline bool hasOpen();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getOpen();
+  inline void setOpen( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setOpen(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initOpen(unsigned int size);
+  inline void adoptOpen(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownOpen();
+
+  inline  ::uint32_t getFree();
+  inline void setFree( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GrantReport::Pipeline {
+public:
+  typedef GrantReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Record::Reader {
 public:
   typedef Record Reads;
@@ -709,6 +934,9 @@
   inline bool hasDigest() const;
   inline  ::capnp::Data::Reader getDigest() const;
 
+  inline bool hasGrants() const;
+  inline  ::jujubedrum::wire::GrantReport::Reader getGrants() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -744,6 +972,13 @@
   inline void adoptDigest(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownDigest();
 
+  inline bool hasGrants();
+  inline  ::jujubedrum::wire::GrantReport::Builder getGrants();
+  inline void setGrants( ::jujubedrum::wire::GrantReport::Reader value);
+  inline  ::jujubedrum::wire::GrantReport::Builder initGrants();
+  inline void adoptGrants(::capnp::Orphan< ::jujubedrum::wire::GrantReport>&& value);
+  inline ::capnp::Orphan< ::jujubedrum::wire::GrantReport> disownGrants();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -762,6 +997,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::jujubedrum::wire::GrantReport::Pipeline getGrants();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -790,6 +1026,9 @@
   inline bool hasDigest() const;
   inline  ::capnp::Data::Reader getDigest() const;
 
+  inline bool hasRevoked() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRevoked() const;
+
   inline bool hasFailure() const;
   inline  ::jujubedrum::wire::Failure::Reader getFailure() const;
 
@@ -828,6 +1067,14 @@
   inline void adoptDigest(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownDigest();
 
+  inline bool hasRevoked();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRevoked();
+  inline void setRevoked( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRevoked(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRevoked(unsigned int size);
+  inline void adoptRevoked(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRevoked();
+
   inline bool hasFailure();
   inline  ::jujubedrum::wire::Failure::Builder getFailure();
   inline void setFailure( ::jujubedrum::wire::Failure::Reader value);
@@ -882,11 +1129,13 @@
   inline bool hasBorrower() const;
   inline  ::capnp::Text::Reader getBorrower() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getSequence() const;
 
-  inline  ::uint32_t getCount() const;
+  inline  ::uint32_t getNeeded() const;
 
-  inline double getMinimumSpeed() const;
+  inline  ::uint32_t getWanted() const;
+
+  inline  ::uint32_t getFree() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -923,14 +1172,17 @@
   inline void adoptBorrower(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownBorrower();
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline  ::uint32_t getCount();
-  inline void setCount( ::uint32_t value);
+  inline  ::uint32_t getNeeded();
+  inline void setNeeded( ::uint32_t value);
+
+  inline  ::uint32_t getWanted();
+  inline void setWanted( ::uint32_t value);
 
-  inline double getMinimumSpeed();
-  inline void setMinimumSpeed(double value);
+  inline  ::uint32_t getFree();
+  inline void setFree( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -975,8 +1227,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGrants() const;
-  inline  ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
+  inline bool hasLender() const;
+  inline  ::capnp::Text::Reader getLender() const;
+
+  inline bool hasGrant() const;
+  inline  ::jujubedrum::wire::Grant::Reader getGrant() const;
+
+  inline  ::uint32_t getFree() const;
 
   inline bool hasFailure() const;
   inline  ::jujubedrum::wire::Failure::Reader getFailure() const;
@@ -1009,12 +1266,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGrants();
-  inline  ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>::Builder getGrants();
-  inline void setGrants( ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
-  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>> disownGrants();
+  inline bool hasLender();
+  inline  ::capnp::Text::Builder getLender();
+  inline void setLender( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLender(unsigned int size);
+  inline void adoptLender(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLender();
+
+  inline bool hasGrant();
+  inline  ::jujubedrum::wire::Grant::Builder getGrant();
+  inline void setGrant( ::jujubedrum::wire::Grant::Reader value);
+  inline  ::jujubedrum::wire::Grant::Builder initGrant();
+  inline void adoptGrant(::capnp::Orphan< ::jujubedrum::wire::Grant>&& value);
+  inline ::capnp::Orphan< ::jujubedrum::wire::Grant> disownGrant();
+
+  inline  ::uint32_t getFree();
+  inline void setFree( ::uint32_t value);
 
   inline bool hasFailure();
   inline  ::jujubedrum::wire::Failure::Builder getFailure();
@@ -1041,6 +1308,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::jujubedrum::wire::Grant::Pipeline getGrant();
   inline  ::jujubedrum::wire::Failure::Pipeline getFailure();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -1067,13 +1335,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBorrower() const;
-  inline  ::capnp::Text::Reader getBorrower() const;
-
-  inline  ::uint64_t getIncarnation() const;
-
   inline bool hasGrants() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getGrants() const;
+  inline  ::jujubedrum::wire::GrantReport::Reader getGrants() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1103,23 +1366,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBorrower();
-  inline  ::capnp::Text::Builder getBorrower();
-  inline void setBorrower( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initBorrower(unsigned int size);
-  inline void adoptBorrower(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownBorrower();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
   inline bool hasGrants();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getGrants();
-  inline void setGrants( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setGrants(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initGrants(unsigned int size);
-  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownGrants();
+  inline  ::jujubedrum::wire::GrantReport::Builder getGrants();
+  inline void setGrants( ::jujubedrum::wire::GrantReport::Reader value);
+  inline  ::jujubedrum::wire::GrantReport::Builder initGrants();
+  inline void adoptGrants(::capnp::Orphan< ::jujubedrum::wire::GrantReport>&& value);
+  inline ::capnp::Orphan< ::jujubedrum::wire::GrantReport> disownGrants();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1139,6 +1391,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::jujubedrum::wire::GrantReport::Pipeline getGrants();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1164,6 +1417,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasRevoked() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRevoked() const;
+
   inline bool hasFailure() const;
   inline  ::jujubedrum::wire::Failure::Reader getFailure() const;
 
@@ -1195,6 +1451,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasRevoked();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRevoked();
+  inline void setRevoked( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRevoked(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRevoked(unsigned int size);
+  inline void adoptRevoked(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRevoked();
+
   inline bool hasFailure();
   inline  ::jujubedrum::wire::Failure::Builder getFailure();
   inline void setFailure( ::jujubedrum::wire::Failure::Reader value);
@@ -1337,8 +1601,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome() const;
-  inline  ::capnp::Text::Reader getOutcome() const;
+  inline bool hasBody() const;
+  inline  ::capnp::Text::Reader getBody() const;
 
   inline bool hasFailure() const;
   inline  ::jujubedrum::wire::Failure::Reader getFailure() const;
@@ -1371,12 +1635,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome();
-  inline  ::capnp::Text::Builder getOutcome();
-  inline void setOutcome( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initOutcome(unsigned int size);
-  inline void adoptOutcome(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownOutcome();
+  inline bool hasBody();
+  inline  ::capnp::Text::Builder getBody();
+  inline void setBody( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBody();
 
   inline bool hasFailure();
   inline  ::jujubedrum::wire::Failure::Builder getFailure();
@@ -1432,6 +1696,9 @@
   inline bool hasId() const;
   inline  ::capnp::Text::Reader getId() const;
 
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
+
   inline  ::int64_t getWaitUs() const;
 
 private:
@@ -1469,6 +1736,13 @@
   inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownId();
 
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
+
   inline  ::int64_t getWaitUs();
   inline void setWaitUs( ::int64_t value);
 
@@ -1515,8 +1789,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome() const;
-  inline  ::capnp::Text::Reader getOutcome() const;
+  inline bool hasBody() const;
+  inline  ::capnp::Text::Reader getBody() const;
 
   inline bool hasFailure() const;
   inline  ::jujubedrum::wire::Failure::Reader getFailure() const;
@@ -1549,12 +1823,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome();
-  inline  ::capnp::Text::Builder getOutcome();
-  inline void setOutcome( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initOutcome(unsigned int size);
-  inline void adoptOutcome(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownOutcome();
+  inline bool hasBody();
+  inline  ::capnp::Text::Builder getBody();
+  inline void setBody( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBody();
 
   inline bool hasFailure();
   inline  ::jujubedrum::wire::Failure::Builder getFailure();
@@ -1610,6 +1884,9 @@
   inline bool hasId() const;
   inline  ::capnp::Text::Reader getId() const;
 
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1645,6 +1922,13 @@
   inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownId();
 
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1688,7 +1972,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown() const;
+  inline bool hasBody() const;
+  inline  ::capnp::Text::Reader getBody() const;
 
   inline bool hasFailure() const;
   inline  ::jujubedrum::wire::Failure::Reader getFailure() const;
@@ -1721,8 +2006,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown();
-  inline void setKnown(bool value);
+  inline bool hasBody();
+  inline  ::capnp::Text::Builder getBody();
+  inline void setBody( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBody();
 
   inline bool hasFailure();
   inline  ::jujubedrum::wire::Failure::Builder getFailure();
@@ -1777,8 +2066,6 @@
 
   inline  ::uint64_t getFrom() const;
 
-  inline  ::uint32_t getMax() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1810,9 +2097,6 @@
   inline  ::uint64_t getFrom();
   inline void setFrom( ::uint64_t value);
 
-  inline  ::uint32_t getMax();
-  inline void setMax( ::uint32_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1856,8 +2140,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNext() const;
-
   inline bool hasRecords() const;
   inline  ::capnp::List< ::jujubedrum::wire::Record,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
@@ -1892,9 +2174,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNext();
-  inline void setNext( ::uint64_t value);
-
   inline bool hasRecords();
   inline  ::capnp::List< ::jujubedrum::wire::Record,  ::capnp::Kind::STRUCT>::Builder getRecords();
   inline void setRecords( ::capnp::List< ::jujubedrum::wire::Record,  ::capnp::Kind::STRUCT>::Reader value);
@@ -1938,100 +2217,268 @@
 
 // =======================================================================================
 
-inline  ::uint64_t Grant::Reader::getId() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Grant::Builder::getId() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Grant::Builder::setId( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Grant::Reader::hasServer() const {
+inline bool SlotCount::Reader::hasServer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Grant::Builder::hasServer() {
+inline bool SlotCount::Builder::hasServer() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Grant::Reader::getServer() const {
+inline  ::capnp::Text::Reader SlotCount::Reader::getServer() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Grant::Builder::getServer() {
+inline  ::capnp::Text::Builder SlotCount::Builder::getServer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Grant::Builder::setServer( ::capnp::Text::Reader value) {
+inline void SlotCount::Builder::setServer( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Grant::Builder::initServer(unsigned int size) {
+inline  ::capnp::Text::Builder SlotCount::Builder::initServer(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Grant::Builder::adoptServer(
+inline void SlotCount::Builder::adoptServer(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Grant::Builder::disownServer() {
+inline ::capnp::Orphan< ::capnp::Text> SlotCount::Builder::disownServer() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Grant::Reader::getSlots() const {
+inline  ::uint32_t SlotCount::Reader::getCount() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Grant::Builder::getSlots() {
+inline  ::uint32_t SlotCount::Builder::getCount() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Grant::Builder::setSlots( ::uint32_t value) {
+inline void SlotCount::Builder::setCount( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Record::Reader::getOffset() const {
+inline  ::uint64_t Grant::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Record::Builder::getOffset() {
+inline  ::uint64_t Grant::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Record::Builder::setOffset( ::uint64_t value) {
+inline void Grant::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Record::Reader::hasData() const {
+inline bool Grant::Reader::hasSlots() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Record::Builder::hasData() {
+inline bool Grant::Builder::hasSlots() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Record::Reader::getData() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::jujubedrum::wire::SlotCount,  ::capnp::Kind::STRUCT>::Reader Grant::Reader::getSlots() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::SlotCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Record::Builder::getData() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::jujubedrum::wire::SlotCount,  ::capnp::Kind::STRUCT>::Builder Grant::Builder::getSlots() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::SlotCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Record::Builder::setData( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Grant::Builder::setSlots( ::capnp::List< ::jujubedrum::wire::SlotCount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::SlotCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::jujubedrum::wire::SlotCount,  ::capnp::Kind::STRUCT>::Builder Grant::Builder::initSlots(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::SlotCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Grant::Builder::adoptSlots(
+    ::capnp::Orphan< ::capnp::List< ::jujubedrum::wire::SlotCount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::SlotCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::jujubedrum::wire::SlotCount,  ::capnp::Kind::STRUCT>> Grant::Builder::disownSlots() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::SlotCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GrantReport::Reader::hasBorrower() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GrantReport::Builder::hasBorrower() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader GrantReport::Reader::getBorrower() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GrantReport::Builder::getBorrower() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GrantReport::Builder::setBorrower( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GrantReport::Builder::initBorrower(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void GrantReport::Builder::adoptBorrower(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GrantReport::Builder::disownBorrower() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t GrantReport::Reader::getThrough() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GrantReport::Builder::getThrough() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GrantReport::Builder::setThrough( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GrantReport::Reader::hasHeld() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GrantReport::Builder::hasHeld() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>::Reader GrantReport::Reader::getHeld() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>::Builder GrantReport::Builder::getHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GrantReport::Builder::setHeld( ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>::Builder GrantReport::Builder::initHeld(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void GrantReport::Builder::adoptHeld(
+    ::capnp::Orphan< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>> GrantReport::Builder::disownHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool GrantReport::Reader::hasOpen() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool GrantReport::Builder::hasOpen() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GrantReport::Reader::getOpen() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GrantReport::Builder::getOpen() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void GrantReport::Builder::setOpen( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void GrantReport::Builder::setOpen(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GrantReport::Builder::initOpen(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void GrantReport::Builder::adoptOpen(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GrantReport::Builder::disownOpen() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t GrantReport::Reader::getFree() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t GrantReport::Builder::getFree() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void GrantReport::Builder::setFree( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Record::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Record::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Record::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Record::Reader::hasData() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Record::Builder::hasData() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Record::Reader::getData() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Record::Builder::getData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Record::Builder::setData( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Text::Builder Record::Builder::initData(unsigned int size) {
@@ -2168,6 +2615,45 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::HeartbeatParams::Reader::hasGrants() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::HeartbeatParams::Builder::hasGrants() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::jujubedrum::wire::GrantReport::Reader Peer::HeartbeatParams::Reader::getGrants() const {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::jujubedrum::wire::GrantReport::Builder Peer::HeartbeatParams::Builder::getGrants() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::jujubedrum::wire::GrantReport::Pipeline Peer::HeartbeatParams::Pipeline::getGrants() {
+  return  ::jujubedrum::wire::GrantReport::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::HeartbeatParams::Builder::setGrants( ::jujubedrum::wire::GrantReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::jujubedrum::wire::GrantReport::Builder Peer::HeartbeatParams::Builder::initGrants() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::HeartbeatParams::Builder::adoptGrants(
+    ::capnp::Orphan< ::jujubedrum::wire::GrantReport>&& value) {
+  ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::jujubedrum::wire::GrantReport> Peer::HeartbeatParams::Builder::disownGrants() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::HeartbeatResults::Reader::hasDigest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2202,43 +2688,81 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::HeartbeatResults::Reader::hasFailure() const {
+inline bool Peer::HeartbeatResults::Reader::hasRevoked() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::HeartbeatResults::Builder::hasFailure() {
+inline bool Peer::HeartbeatResults::Builder::hasRevoked() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Peer::HeartbeatResults::Reader::getRevoked() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::HeartbeatResults::Builder::getRevoked() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::HeartbeatResults::Builder::setRevoked( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Peer::HeartbeatResults::Builder::setRevoked(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::HeartbeatResults::Builder::initRevoked(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::HeartbeatResults::Builder::adoptRevoked(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Peer::HeartbeatResults::Builder::disownRevoked() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::HeartbeatResults::Reader::hasFailure() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::HeartbeatResults::Builder::hasFailure() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
 inline  ::jujubedrum::wire::Failure::Reader Peer::HeartbeatResults::Reader::getFailure() const {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline  ::jujubedrum::wire::Failure::Builder Peer::HeartbeatResults::Builder::getFailure() {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
 inline  ::jujubedrum::wire::Failure::Pipeline Peer::HeartbeatResults::Pipeline::getFailure() {
-  return  ::jujubedrum::wire::Failure::Pipeline(_typeless.getPointerField(1));
+  return  ::jujubedrum::wire::Failure::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
 inline void Peer::HeartbeatResults::Builder::setFailure( ::jujubedrum::wire::Failure::Reader value) {
   ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
 inline  ::jujubedrum::wire::Failure::Builder Peer::HeartbeatResults::Builder::initFailure() {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void Peer::HeartbeatResults::Builder::adoptFailure(
     ::capnp::Orphan< ::jujubedrum::wire::Failure>&& value) {
   ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::jujubedrum::wire::Failure> Peer::HeartbeatResults::Builder::disownFailure() {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::BorrowParams::Reader::hasBorrower() const {
@@ -2275,244 +2799,302 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Peer::BorrowParams::Reader::getIncarnation() const {
+inline  ::uint64_t Peer::BorrowParams::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Peer::BorrowParams::Builder::getIncarnation() {
+inline  ::uint64_t Peer::BorrowParams::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::BorrowParams::Builder::setIncarnation( ::uint64_t value) {
+inline void Peer::BorrowParams::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Peer::BorrowParams::Reader::getCount() const {
+inline  ::uint32_t Peer::BorrowParams::Reader::getNeeded() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Peer::BorrowParams::Builder::getCount() {
+inline  ::uint32_t Peer::BorrowParams::Builder::getNeeded() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Peer::BorrowParams::Builder::setCount( ::uint32_t value) {
+inline void Peer::BorrowParams::Builder::setNeeded( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline double Peer::BorrowParams::Reader::getMinimumSpeed() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Peer::BorrowParams::Reader::getWanted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline double Peer::BorrowParams::Builder::getMinimumSpeed() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Peer::BorrowParams::Builder::getWanted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Peer::BorrowParams::Builder::setMinimumSpeed(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Peer::BorrowParams::Builder::setWanted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Peer::BorrowParams::Reader::getFree() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline bool Peer::BorrowResults::Reader::hasGrants() const {
+inline  ::uint32_t Peer::BorrowParams::Builder::getFree() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Peer::BorrowParams::Builder::setFree( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::BorrowResults::Reader::hasLender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::BorrowResults::Builder::hasGrants() {
+inline bool Peer::BorrowResults::Builder::hasLender() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>::Reader Peer::BorrowResults::Reader::getGrants() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Peer::BorrowResults::Reader::getLender() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>::Builder Peer::BorrowResults::Builder::getGrants() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Peer::BorrowResults::Builder::getLender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::BorrowResults::Builder::setGrants( ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Peer::BorrowResults::Builder::setLender( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>::Builder Peer::BorrowResults::Builder::initGrants(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Peer::BorrowResults::Builder::initLender(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::BorrowResults::Builder::adoptGrants(
-    ::capnp::Orphan< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Peer::BorrowResults::Builder::adoptLender(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>> Peer::BorrowResults::Builder::disownGrants() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::jujubedrum::wire::Grant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Peer::BorrowResults::Builder::disownLender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::BorrowResults::Reader::hasFailure() const {
+inline bool Peer::BorrowResults::Reader::hasGrant() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::BorrowResults::Builder::hasFailure() {
+inline bool Peer::BorrowResults::Builder::hasGrant() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
+inline  ::jujubedrum::wire::Grant::Reader Peer::BorrowResults::Reader::getGrant() const {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Grant>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::jujubedrum::wire::Grant::Builder Peer::BorrowResults::Builder::getGrant() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Grant>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::jujubedrum::wire::Grant::Pipeline Peer::BorrowResults::Pipeline::getGrant() {
+  return  ::jujubedrum::wire::Grant::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::BorrowResults::Builder::setGrant( ::jujubedrum::wire::Grant::Reader value) {
+  ::capnp::_::PointerHelpers< ::jujubedrum::wire::Grant>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::jujubedrum::wire::Grant::Builder Peer::BorrowResults::Builder::initGrant() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Grant>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::BorrowResults::Builder::adoptGrant(
+    ::capnp::Orphan< ::jujubedrum::wire::Grant>&& value) {
+  ::capnp::_::PointerHelpers< ::jujubedrum::wire::Grant>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::jujubedrum::wire::Grant> Peer::BorrowResults::Builder::disownGrant() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Grant>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Peer::BorrowResults::Reader::getFree() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Peer::BorrowResults::Builder::getFree() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::BorrowResults::Builder::setFree( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::BorrowResults::Reader::hasFailure() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::BorrowResults::Builder::hasFailure() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
 inline  ::jujubedrum::wire::Failure::Reader Peer::BorrowResults::Reader::getFailure() const {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline  ::jujubedrum::wire::Failure::Builder Peer::BorrowResults::Builder::getFailure() {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
 inline  ::jujubedrum::wire::Failure::Pipeline Peer::BorrowResults::Pipeline::getFailure() {
-  return  ::jujubedrum::wire::Failure::Pipeline(_typeless.getPointerField(1));
+  return  ::jujubedrum::wire::Failure::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
 inline void Peer::BorrowResults::Builder::setFailure( ::jujubedrum::wire::Failure::Reader value) {
   ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
 inline  ::jujubedrum::wire::Failure::Builder Peer::BorrowResults::Builder::initFailure() {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void Peer::BorrowResults::Builder::adoptFailure(
     ::capnp::Orphan< ::jujubedrum::wire::Failure>&& value) {
   ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::jujubedrum::wire::Failure> Peer::BorrowResults::Builder::disownFailure() {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::GiveBackParams::Reader::hasBorrower() const {
+inline bool Peer::GiveBackParams::Reader::hasGrants() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::GiveBackParams::Builder::hasBorrower() {
+inline bool Peer::GiveBackParams::Builder::hasGrants() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::GiveBackParams::Reader::getBorrower() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::jujubedrum::wire::GrantReport::Reader Peer::GiveBackParams::Reader::getGrants() const {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::GiveBackParams::Builder::getBorrower() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::jujubedrum::wire::GrantReport::Builder Peer::GiveBackParams::Builder::getGrants() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::GiveBackParams::Builder::setBorrower( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::jujubedrum::wire::GrantReport::Pipeline Peer::GiveBackParams::Pipeline::getGrants() {
+  return  ::jujubedrum::wire::GrantReport::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::GiveBackParams::Builder::setGrants( ::jujubedrum::wire::GrantReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::GiveBackParams::Builder::initBorrower(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::jujubedrum::wire::GrantReport::Builder Peer::GiveBackParams::Builder::initGrants() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::GiveBackParams::Builder::adoptBorrower(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Peer::GiveBackParams::Builder::adoptGrants(
+    ::capnp::Orphan< ::jujubedrum::wire::GrantReport>&& value) {
+  ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::GiveBackParams::Builder::disownBorrower() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::jujubedrum::wire::GrantReport> Peer::GiveBackParams::Builder::disownGrants() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Peer::GiveBackParams::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Peer::GiveBackParams::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Peer::GiveBackParams::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Peer::GiveBackParams::Reader::hasGrants() const {
+inline bool Peer::GiveBackResults::Reader::hasRevoked() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::GiveBackParams::Builder::hasGrants() {
+inline bool Peer::GiveBackResults::Builder::hasRevoked() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Peer::GiveBackParams::Reader::getGrants() const {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Peer::GiveBackResults::Reader::getRevoked() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::GiveBackParams::Builder::getGrants() {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::GiveBackResults::Builder::getRevoked() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::GiveBackParams::Builder::setGrants( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+inline void Peer::GiveBackResults::Builder::setRevoked( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Peer::GiveBackParams::Builder::setGrants(::kj::ArrayPtr<const  ::uint64_t> value) {
+inline void Peer::GiveBackResults::Builder::setRevoked(::kj::ArrayPtr<const  ::uint64_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::GiveBackParams::Builder::initGrants(unsigned int size) {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::GiveBackResults::Builder::initRevoked(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::GiveBackParams::Builder::adoptGrants(
+inline void Peer::GiveBackResults::Builder::adoptRevoked(
     ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Peer::GiveBackParams::Builder::disownGrants() {
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Peer::GiveBackResults::Builder::disownRevoked() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::GiveBackResults::Reader::hasFailure() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::GiveBackResults::Builder::hasFailure() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline  ::jujubedrum::wire::Failure::Reader Peer::GiveBackResults::Reader::getFailure() const {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline  ::jujubedrum::wire::Failure::Builder Peer::GiveBackResults::Builder::getFailure() {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
 inline  ::jujubedrum::wire::Failure::Pipeline Peer::GiveBackResults::Pipeline::getFailure() {
-  return  ::jujubedrum::wire::Failure::Pipeline(_typeless.getPointerField(0));
+  return  ::jujubedrum::wire::Failure::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
 inline void Peer::GiveBackResults::Builder::setFailure( ::jujubedrum::wire::Failure::Reader value) {
   ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
 inline  ::jujubedrum::wire::Failure::Builder Peer::GiveBackResults::Builder::initFailure() {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Peer::GiveBackResults::Builder::adoptFailure(
     ::capnp::Orphan< ::jujubedrum::wire::Failure>&& value) {
   ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::jujubedrum::wire::Failure> Peer::GiveBackResults::Builder::disownFailure() {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::SubmitParams::Reader::hasJob() const {
@@ -2577,36 +3159,36 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::SubmitResults::Reader::hasOutcome() const {
+inline bool Peer::SubmitResults::Reader::hasBody() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::SubmitResults::Builder::hasOutcome() {
+inline bool Peer::SubmitResults::Builder::hasBody() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::SubmitResults::Reader::getOutcome() const {
+inline  ::capnp::Text::Reader Peer::SubmitResults::Reader::getBody() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::SubmitResults::Builder::getOutcome() {
+inline  ::capnp::Text::Builder Peer::SubmitResults::Builder::getBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::SubmitResults::Builder::setOutcome( ::capnp::Text::Reader value) {
+inline void Peer::SubmitResults::Builder::setBody( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::SubmitResults::Builder::initOutcome(unsigned int size) {
+inline  ::capnp::Text::Builder Peer::SubmitResults::Builder::initBody(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::SubmitResults::Builder::adoptOutcome(
+inline void Peer::SubmitResults::Builder::adoptBody(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::SubmitResults::Builder::disownOutcome() {
+inline ::capnp::Orphan< ::capnp::Text> Peer::SubmitResults::Builder::disownBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
@@ -2684,6 +3266,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::CollectParams::Reader::hasTeam() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::CollectParams::Builder::hasTeam() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::CollectParams::Reader::getTeam() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::CollectParams::Builder::getTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::CollectParams::Builder::setTeam( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::CollectParams::Builder::initTeam(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::CollectParams::Builder::adoptTeam(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::CollectParams::Builder::disownTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::int64_t Peer::CollectParams::Reader::getWaitUs() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2698,36 +3314,36 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::CollectResults::Reader::hasOutcome() const {
+inline bool Peer::CollectResults::Reader::hasBody() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::CollectResults::Builder::hasOutcome() {
+inline bool Peer::CollectResults::Builder::hasBody() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::CollectResults::Reader::getOutcome() const {
+inline  ::capnp::Text::Reader Peer::CollectResults::Reader::getBody() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::CollectResults::Builder::getOutcome() {
+inline  ::capnp::Text::Builder Peer::CollectResults::Builder::getBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::CollectResults::Builder::setOutcome( ::capnp::Text::Reader value) {
+inline void Peer::CollectResults::Builder::setBody( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::CollectResults::Builder::initOutcome(unsigned int size) {
+inline  ::capnp::Text::Builder Peer::CollectResults::Builder::initBody(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::CollectResults::Builder::adoptOutcome(
+inline void Peer::CollectResults::Builder::adoptBody(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::CollectResults::Builder::disownOutcome() {
+inline ::capnp::Orphan< ::capnp::Text> Peer::CollectResults::Builder::disownBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
@@ -2805,57 +3421,111 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::CancelResults::Reader::getKnown() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::CancelParams::Reader::hasTeam() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::CancelParams::Builder::hasTeam() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::CancelParams::Reader::getTeam() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::CancelParams::Builder::getTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::CancelParams::Builder::setTeam( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::CancelParams::Builder::initTeam(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::CancelParams::Builder::adoptTeam(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::CancelParams::Builder::disownTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::CancelResults::Builder::getKnown() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::CancelResults::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Peer::CancelResults::Builder::setKnown(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool Peer::CancelResults::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::CancelResults::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::CancelResults::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::CancelResults::Builder::setBody( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::CancelResults::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::CancelResults::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::CancelResults::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::CancelResults::Reader::hasFailure() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::CancelResults::Builder::hasFailure() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline  ::jujubedrum::wire::Failure::Reader Peer::CancelResults::Reader::getFailure() const {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline  ::jujubedrum::wire::Failure::Builder Peer::CancelResults::Builder::getFailure() {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
 inline  ::jujubedrum::wire::Failure::Pipeline Peer::CancelResults::Pipeline::getFailure() {
-  return  ::jujubedrum::wire::Failure::Pipeline(_typeless.getPointerField(0));
+  return  ::jujubedrum::wire::Failure::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
 inline void Peer::CancelResults::Builder::setFailure( ::jujubedrum::wire::Failure::Reader value) {
   ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
 inline  ::jujubedrum::wire::Failure::Builder Peer::CancelResults::Builder::initFailure() {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Peer::CancelResults::Builder::adoptFailure(
     ::capnp::Orphan< ::jujubedrum::wire::Failure>&& value) {
   ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::jujubedrum::wire::Failure> Peer::CancelResults::Builder::disownFailure() {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline  ::uint64_t Peer::ConfigRecordsParams::Reader::getFrom() const {
@@ -2872,34 +3542,6 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Peer::ConfigRecordsParams::Reader::getMax() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Peer::ConfigRecordsParams::Builder::getMax() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Peer::ConfigRecordsParams::Builder::setMax( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Peer::ConfigRecordsResults::Reader::getNext() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Peer::ConfigRecordsResults::Builder::getNext() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Peer::ConfigRecordsResults::Builder::setNext( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Peer::ConfigRecordsResults::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libruntime/peer_calls.cpp
+++ b/src/libruntime/peer_calls.cpp
@@ -23,6 +23,21 @@
 template <typename... Handlers>
 overloaded(Handlers...) -> overloaded<Handlers...>;
 
+std::size_t report_bytes(const grant_report& report)
+{
+    constexpr std::size_t slot_overhead = 32;
+    std::size_t bytes = report.open.size() * sizeof(std::uint64_t);
+    for (const slot_grant& grant : report.held)
+    {
+        bytes += slot_overhead;
+        for (const slot_count& slots : grant.slots)
+        {
+            bytes += slot_overhead + slots.server.size();
+        }
+    }
+    return bytes;
+}
+
 template <typename Request, typename Read>
 kj::Promise<peer_reply> send(Request request, std::size_t call,
                              peer_meter& meter, Read read)
@@ -42,6 +57,9 @@
         });
 }
 
+constexpr auto read_job_reply = [](auto& response) -> peer_reply
+{ return job_reply{from_text(response.getBody())}; };
+
 } // namespace
 
 std::size_t request_bytes(const peer_request& request)
@@ -52,8 +70,10 @@
     return fixed +
            std::visit(overloaded{[](const submit_request& submit)
                                  { return submit.job.size(); },
-                                 [](const give_back_request& give_back)
-                                 { return give_back.grants.size() * 8; },
+                                 [](const grant_report& report)
+                                 { return report_bytes(report); },
+                                 [](const heartbeat_request& heartbeat)
+                                 { return report_bytes(heartbeat.grants); },
                                  [](const auto&) { return std::size_t{0}; }},
                       request);
 }
@@ -64,87 +84,83 @@
 {
     const std::size_t call = value.index();
     return std::visit(
-        overloaded{[&](const heartbeat_request& from)
-                   {
-                       auto request = peer.heartbeatRequest();
-                       const std::string digest = encode_digest(from.digest);
-                       request.setDigest(to_data(digest));
-                       return send(kj::mv(request), call, meter,
-                                   [](auto& response) -> peer_reply {
-                                       return heartbeat_reply{
-                                           read_digest(response.getDigest())};
-                                   });
-                   },
-                   [&](const borrow_request& from)
-                   {
-                       auto request = peer.borrowRequest();
-                       request.setBorrower(to_text(from.borrower));
-                       request.setIncarnation(from.incarnation);
-                       request.setCount(from.count);
-                       request.setMinimumSpeed(from.minimum_speed);
-                       return send(kj::mv(request), call, meter,
-                                   [](auto& response) -> peer_reply {
-                                       return borrow_reply{
-                                           read_grants(response.getGrants())};
-                                   });
-                   },
-                   [&](const give_back_request& from)
-                   {
-                       auto request = peer.giveBackRequest();
-                       request.setBorrower(to_text(from.borrower));
-                       request.setIncarnation(from.incarnation);
-                       write_ids(request.initGrants(
-                                     static_cast<unsigned>(from.grants.size())),
-                                 from.grants);
-                       return send(kj::mv(request), call, meter,
-                                   [](auto&) -> peer_reply
-                                   { return give_back_reply{}; });
-                   },
-                   [&](const submit_request& from)
-                   {
-                       auto request = peer.submitRequest();
-                       request.setJob(to_text(from.job));
-                       request.setRemainingUs(from.remaining.count());
-                       request.setHops(from.hops);
-                       return send(kj::mv(request), call, meter,
-                                   [](auto& response) -> peer_reply {
-                                       return submit_reply{
-                                           from_text(response.getOutcome())};
-                                   });
-                   },
-                   [&](const collect_request& from)
-                   {
-                       auto request = peer.collectRequest();
-                       request.setId(to_text(from.id));
-                       request.setWaitUs(from.wait.count());
-                       return send(kj::mv(request), call, meter,
-                                   [](auto& response) -> peer_reply {
-                                       return collect_reply{
-                                           from_text(response.getOutcome())};
-                                   });
-                   },
-                   [&](const cancel_request& from)
-                   {
-                       auto request = peer.cancelRequest();
-                       request.setId(to_text(from.id));
-                       return send(kj::mv(request), call, meter,
-                                   [](auto& response) -> peer_reply {
-                                       return cancel_reply{response.getKnown()};
-                                   });
-                   },
-                   [&](const config_records_request& from)
-                   {
-                       auto request = peer.configRecordsRequest();
-                       request.setFrom(from.from);
-                       request.setMax(from.max);
-                       return send(kj::mv(request), call, meter,
-                                   [](auto& response) -> peer_reply
-                                   {
-                                       return config_records_reply{
-                                           response.getNext(),
-                                           read_records(response.getRecords())};
-                                   });
-                   }},
+        overloaded{
+            [&](const heartbeat_request& from)
+            {
+                auto request = peer.heartbeatRequest();
+                const std::string digest = encode_digest(from.digest);
+                request.setDigest(to_data(digest));
+                grant_report grants = from.grants;
+                grants.borrower.clear();
+                write_report(request.initGrants(), grants);
+                return send(kj::mv(request), call, meter,
+                            [](auto& response) -> peer_reply
+                            {
+                                return heartbeat_reply{
+                                    read_digest(response.getDigest()),
+                                    read_ids(response.getRevoked())};
+                            });
+            },
+            [&](const borrow_request& from)
+            {
+                auto request = peer.borrowRequest();
+                request.setBorrower(to_text(from.borrower));
+                request.setSequence(from.sequence);
+                request.setNeeded(from.needed);
+                request.setWanted(from.wanted);
+                request.setFree(from.free);
+                return send(kj::mv(request), call, meter,
+                            [](auto& response) -> peer_reply
+                            {
+                                return borrow_reply{
+                                    from_text(response.getLender()),
+                                    read_grant(response.getGrant()),
+                                    response.getFree()};
+                            });
+            },
+            [&](const grant_report& from)
+            {
+                auto request = peer.giveBackRequest();
+                write_report(request.initGrants(), from);
+                return send(kj::mv(request), call, meter,
+                            [](auto& response) -> peer_reply {
+                                return give_back_reply{
+                                    read_ids(response.getRevoked())};
+                            });
+            },
+            [&](const submit_request& from)
+            {
+                auto request = peer.submitRequest();
+                request.setJob(to_text(from.job));
+                request.setRemainingUs(from.remaining.count());
+                request.setHops(from.hops);
+                return send(kj::mv(request), call, meter, read_job_reply);
+            },
+            [&](const collect_request& from)
+            {
+                auto request = peer.collectRequest();
+                request.setId(to_text(from.id));
+                request.setTeam(to_text(from.team));
+                request.setWaitUs(from.wait.count());
+                return send(kj::mv(request), call, meter, read_job_reply);
+            },
+            [&](const cancel_request& from)
+            {
+                auto request = peer.cancelRequest();
+                request.setId(to_text(from.id));
+                request.setTeam(to_text(from.team));
+                return send(kj::mv(request), call, meter, read_job_reply);
+            },
+            [&](const config_records_request& from)
+            {
+                auto request = peer.configRecordsRequest();
+                request.setFrom(from.from);
+                return send(kj::mv(request), call, meter,
+                            [](auto& response) -> peer_reply {
+                                return config_records_reply{
+                                    read_records(response.getRecords())};
+                            });
+            }},
         value);
 }
 
--- a/src/libruntime/peer_convert.cpp
+++ b/src/libruntime/peer_convert.cpp
@@ -45,26 +45,66 @@
     return std::move(*digest);
 }
 
-void write_grants(capnp::List<wire::Grant>::Builder to,
-                  const std::vector<slot_grant>& from)
+void write_grant(wire::Grant::Builder to, const slot_grant& from)
 {
-    for (unsigned i = 0; i < to.size(); ++i)
+    to.setSequence(from.sequence);
+    auto slots = to.initSlots(static_cast<unsigned>(from.slots.size()));
+    for (unsigned i = 0; i < slots.size(); ++i)
     {
-        to[i].setId(from[i].id);
-        to[i].setServer(to_text(from[i].server));
-        to[i].setSlots(from[i].slots);
+        slots[i].setServer(to_text(from.slots[i].server));
+        slots[i].setCount(from.slots[i].count);
     }
 }
 
-std::vector<slot_grant> read_grants(capnp::List<wire::Grant>::Reader from)
+slot_grant read_grant(wire::Grant::Reader from)
 {
-    std::vector<slot_grant> grants;
-    for (unsigned i = 0; i < std::min(from.size(), max_list); ++i)
+    slot_grant grant;
+    grant.sequence = from.getSequence();
+    const auto slots = from.getSlots();
+    for (unsigned i = 0; i < std::min(slots.size(), max_list); ++i)
+    {
+        grant.slots.push_back(
+            {from_text(slots[i].getServer()), slots[i].getCount()});
+    }
+    return grant;
+}
+
+void write_report(wire::GrantReport::Builder to, const grant_report& from)
+{
+    if (!from.borrower.empty())
+    {
+        to.setBorrower(to_text(from.borrower));
+    }
+    to.setThrough(from.through);
+    to.setFree(from.free);
+    if (!from.held.empty())
+    {
+        auto held = to.initHeld(static_cast<unsigned>(from.held.size()));
+        for (unsigned i = 0; i < held.size(); ++i)
+        {
+            write_grant(held[i], from.held[i]);
+        }
+    }
+    if (!from.open.empty())
+    {
+        write_ids(to.initOpen(static_cast<unsigned>(from.open.size())),
+                  from.open);
+    }
+}
+
+grant_report read_report(wire::GrantReport::Reader from)
+{
+    grant_report report;
+    report.borrower = from_text(from.getBorrower());
+    report.through = from.getThrough();
+    report.free = from.getFree();
+    report.open = read_ids(from.getOpen());
+    const auto held = from.getHeld();
+    for (unsigned i = 0; i < std::min(held.size(), max_list); ++i)
     {
-        grants.push_back({from[i].getId(), from_text(from[i].getServer()),
-                          from[i].getSlots()});
+        report.held.push_back(read_grant(held[i]));
     }
-    return grants;
+    return report;
 }
 
 void write_ids(capnp::List<std::uint64_t>::Builder to,
@@ -87,7 +127,7 @@
 }
 
 void write_records(capnp::List<wire::Record>::Builder to,
-                   const std::vector<stream_record>& from)
+                   const std::vector<log_record>& from)
 {
     for (unsigned i = 0; i < to.size(); ++i)
     {
@@ -96,9 +136,9 @@
     }
 }
 
-std::vector<stream_record> read_records(capnp::List<wire::Record>::Reader from)
+std::vector<log_record> read_records(capnp::List<wire::Record>::Reader from)
 {
-    std::vector<stream_record> records;
+    std::vector<log_record> records;
     for (unsigned i = 0; i < std::min(from.size(), max_list); ++i)
     {
         records.push_back({from[i].getOffset(), from_text(from[i].getData())});
--- a/src/libruntime/peer_convert.hpp
+++ b/src/libruntime/peer_convert.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "peer.capnp.h"
-#include "peer_messages.hpp"
+#include "engine/peer_messages.hpp"
 
 #include <cstdint>
 #include <string>
@@ -20,10 +20,11 @@
 /// Throws a kj::Exception if the digest is malformed.
 [[nodiscard]] peer_digest read_digest(capnp::Data::Reader from);
 
-void write_grants(capnp::List<wire::Grant>::Builder to,
-                  const std::vector<slot_grant>& from);
-[[nodiscard]] std::vector<slot_grant>
-read_grants(capnp::List<wire::Grant>::Reader from);
+void write_grant(wire::Grant::Builder to, const slot_grant& from);
+[[nodiscard]] slot_grant read_grant(wire::Grant::Reader from);
+
+void write_report(wire::GrantReport::Builder to, const grant_report& from);
+[[nodiscard]] grant_report read_report(wire::GrantReport::Reader from);
 
 void write_ids(capnp::List<std::uint64_t>::Builder to,
                const std::vector<std::uint64_t>& from);
@@ -31,8 +32,8 @@
 read_ids(capnp::List<std::uint64_t>::Reader from);
 
 void write_records(capnp::List<wire::Record>::Builder to,
-                   const std::vector<stream_record>& from);
-[[nodiscard]] std::vector<stream_record>
+                   const std::vector<log_record>& from);
+[[nodiscard]] std::vector<log_record>
 read_records(capnp::List<wire::Record>::Reader from);
 
 void write_failure(wire::Failure::Builder to, const peer_failure& from);
--- a/src/libruntime/peer_handler.hpp
+++ b/src/libruntime/peer_handler.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "peer_messages.hpp"
+#include "engine/peer_messages.hpp"
 
 #include <functional>
 
--- a/src/libruntime/peer_network.hpp
+++ b/src/libruntime/peer_network.hpp
@@ -3,7 +3,7 @@
 #include "base/reason.hpp"
 #include "peer_counters.hpp"
 #include "peer_handler.hpp"
-#include "peer_messages.hpp"
+#include "engine/peer_messages.hpp"
 #include "peer_options.hpp"
 
 #include <cstdint>
--- a/src/libruntime/peer_service.cpp
+++ b/src/libruntime/peer_service.cpp
@@ -20,18 +20,14 @@
 std::size_t reply_bytes(const peer_reply& reply)
 {
     std::size_t bytes = 0;
-    if (const auto* done = std::get_if<submit_reply>(&reply))
+    if (const auto* done = std::get_if<job_reply>(&reply))
     {
-        bytes = done->outcome.size();
-    }
-    else if (const auto* found = std::get_if<collect_reply>(&reply))
-    {
-        bytes = found->outcome.size();
+        bytes = done->body.size();
     }
     else if (const auto* page = std::get_if<config_records_reply>(&reply))
     {
         constexpr std::size_t record_overhead = 32;
-        for (const stream_record& record : page->records)
+        for (const log_record& record : page->records)
         {
             bytes += record.data.size() + record_overhead;
         }
@@ -39,6 +35,19 @@
     return bytes;
 }
 
+constexpr auto write_body = [](auto results, const job_reply& reply)
+{ results.setBody(to_text(reply.body)); };
+
+constexpr auto write_revoked =
+    [](auto results, const std::vector<std::uint64_t>& revoked)
+{
+    if (!revoked.empty())
+    {
+        write_ids(results.initRevoked(static_cast<unsigned>(revoked.size())),
+                  revoked);
+    }
+};
+
 } // namespace
 
 peer_service::peer_service(const peer_options& options, peer_handler& handler,
@@ -135,9 +144,17 @@
     return this->answer<heartbeat_reply>(
         context,
         [](auto params)
-        { return heartbeat_request{read_digest(params.getDigest())}; },
+        {
+            heartbeat_request request{read_digest(params.getDigest()),
+                                      read_report(params.getGrants())};
+            request.grants.borrower = request.digest.name;
+            return request;
+        },
         [](auto results, const heartbeat_reply& reply)
-        { results.setDigest(to_data(encode_digest(reply.digest))); });
+        {
+            results.setDigest(to_data(encode_digest(reply.digest)));
+            write_revoked(results, reply.revoked);
+        });
 }
 
 kj::Promise<void> peer_service::borrow(BorrowContext context)
@@ -147,32 +164,28 @@
         [](auto params)
         {
             return borrow_request{from_text(params.getBorrower()),
-                                  params.getIncarnation(), params.getCount(),
-                                  params.getMinimumSpeed()};
+                                  params.getSequence(), params.getNeeded(),
+                                  params.getWanted(), params.getFree()};
         },
         [](auto results, const borrow_reply& reply)
         {
-            const auto size = static_cast<unsigned>(reply.grants.size());
-            write_grants(results.initGrants(size), reply.grants);
+            results.setLender(to_text(reply.lender));
+            results.setFree(reply.free);
+            write_grant(results.initGrant(), reply.grant);
         });
 }
 
 kj::Promise<void> peer_service::giveBack(GiveBackContext context)
 {
     return this->answer<give_back_reply>(
-        context,
-        [](auto params)
-        {
-            return give_back_request{from_text(params.getBorrower()),
-                                     params.getIncarnation(),
-                                     read_ids(params.getGrants())};
-        },
-        [](auto, const give_back_reply&) {});
+        context, [](auto params) { return read_report(params.getGrants()); },
+        [](auto results, const give_back_reply& reply)
+        { write_revoked(results, reply.revoked); });
 }
 
 kj::Promise<void> peer_service::submit(SubmitContext context)
 {
-    return this->answer<submit_reply>(
+    return this->answer<job_reply>(
         context,
         [](auto params)
         {
@@ -180,42 +193,41 @@
                                   microseconds(params.getRemainingUs()),
                                   params.getHops()};
         },
-        [](auto results, const submit_reply& reply)
-        { results.setOutcome(to_text(reply.outcome)); });
+        write_body);
 }
 
 kj::Promise<void> peer_service::collect(CollectContext context)
 {
-    return this->answer<collect_reply>(
+    return this->answer<job_reply>(
         context,
         [](auto params)
         {
             return collect_request{from_text(params.getId()),
+                                   from_text(params.getTeam()),
                                    microseconds(params.getWaitUs())};
         },
-        [](auto results, const collect_reply& reply)
-        { results.setOutcome(to_text(reply.outcome)); });
+        write_body);
 }
 
 kj::Promise<void> peer_service::cancel(CancelContext context)
 {
-    return this->answer<cancel_reply>(
+    return this->answer<job_reply>(
         context,
-        [](auto params) { return cancel_request{from_text(params.getId())}; },
-        [](auto results, const cancel_reply& reply)
-        { results.setKnown(reply.known); });
+        [](auto params)
+        {
+            return cancel_request{from_text(params.getId()),
+                                  from_text(params.getTeam())};
+        },
+        write_body);
 }
 
 kj::Promise<void> peer_service::configRecords(ConfigRecordsContext context)
 {
     return this->answer<config_records_reply>(
         context,
-        [](auto params) {
-            return config_records_request{params.getFrom(), params.getMax()};
-        },
+        [](auto params) { return config_records_request{params.getFrom()}; },
         [](auto results, const config_records_reply& reply)
         {
-            results.setNext(reply.next);
             const auto size = static_cast<unsigned>(reply.records.size());
             write_records(results.initRecords(size), reply.records);
         });
