Wait for fast slots, use slack, serve waiting tasks by due time

Cause: with a share of every server, an instance short of fast slots started long tasks on the slowest server while others had fast ones free, borrowed for every burst, and a job of 690 tasks blocked the small jobs behind it.

Change: a task goes to the slot on which it ends first, busy ones included; a task much shorter than the longest of its job takes the slowest slot that does not delay the job; waiting tasks are served by arrival + 2 x run time of the longest task; slots are borrowed only for tasks that would end late. Heartbeats are one peer per 2 s. Speed estimates use weight 0.03 instead of 0.1 (0.2 for surprising results), as slow servers are seen rarely.

--- a/src/jujubedrum-load/model_command.cpp
+++ b/src/jujubedrum-load/model_command.cpp
@@ -39,11 +39,13 @@
     "  --borrow none|domain|region\n"
     "                            peers to borrow slots from (region)\n"
     "  --objective response_time|messages\n"
-    "                            preset of the grant parameters\n"
+    "                            preset of the late ratio\n"
+    "  --slack X --wait X --late-ratio X\n"
+    "                            single parameters of owned_slots\n"
     "  --linger-ms N --reserve X --headroom X --lend idle|fastest|slowest\n"
     "                            single grant parameters\n"
     "  --heartbeat-ms N --heartbeat-peers N\n"
-    "                            heartbeats of each instance (500, 1)\n"
+    "                            heartbeats of each instance (2000, 1)\n"
     "  --no-hedge                never start a second copy of a task\n"
     "  --submission-order        start the tasks of a job as submitted, not\n"
     "                            the longest first\n"
@@ -74,15 +76,26 @@
     };
 }
 
-setter share(double grant_options::*field)
+template <typename Group>
+setter ratio(Group model_options::*group, double Group::*field)
 {
-    return [field](model_options& options, const std::string& text)
+    return [group, field](model_options& options, const std::string& text)
     {
-        options.grants.*field = std::atof(text.c_str());
-        return true;
+        char* end = nullptr;
+        (options.*group).*field = std::strtod(text.c_str(), &end);
+        return !text.empty() && *end == '\0';
     };
 }
 
+bool set_objective(model_options& options, const std::string& text)
+{
+    const bool messages = text == "messages";
+    options.tuning = placement_tuning::for_objective(
+        messages ? placement_objective::messages
+                 : placement_objective::response_time);
+    return messages || text == "response_time";
+}
+
 template <typename Value>
 setter one_of(Value model_options::*field, std::map<std::string, Value> values)
 {
@@ -158,8 +171,14 @@
                                          {"domain", borrow_scope::domain},
                                          {"region", borrow_scope::region}})},
         {"linger-ms", set_linger},
-        {"reserve", share(&grant_options::reserve)},
-        {"headroom", share(&grant_options::headroom)},
+        {"reserve", ratio(&model_options::grants, &grant_options::reserve)},
+        {"headroom", ratio(&model_options::grants, &grant_options::headroom)},
+        {"objective", set_objective},
+        {"slack",
+         ratio(&model_options::tuning, &placement_tuning::slack_share)},
+        {"wait", ratio(&model_options::tuning, &placement_tuning::wait_share)},
+        {"late-ratio",
+         ratio(&model_options::tuning, &placement_tuning::late_ratio)},
         {"lend", set_lend_order},
         {"heartbeat-ms", duration(&model_options::heartbeat, milliseconds(1))},
         {"heartbeat-peers", number(&model_options::heartbeat_peers)},
--- a/src/jujubedrum-load/model_instance.cpp
+++ b/src/jujubedrum-load/model_instance.cpp
@@ -20,8 +20,9 @@
                                            this->description.name));
     this->stats.set_servers(cluster.servers());
     placement_reason why;
-    this->policy =
-        make_policy(policy_name, {this->pool, this->stats, this->random}, why);
+    this->policy = make_policy(
+        policy_name, {this->pool, this->stats, this->random, options.tuning},
+        why);
     if (!this->policy->uses_owned_slots() ||
         options.scope == borrow_scope::none)
     {
--- a/src/jujubedrum-load/model_options.hpp
+++ b/src/jujubedrum-load/model_options.hpp
@@ -40,9 +40,9 @@
     /// One-way delay between domains; 0 selects that of the profile.
     microseconds delay{};
     borrow_scope scope = borrow_scope::region;
-    placement_objective objective = placement_objective::response_time;
+    placement_tuning tuning;
     grant_options grants;
-    microseconds heartbeat = milliseconds(500);
+    microseconds heartbeat = seconds(2);
     std::size_t heartbeat_peers = 1;
     bool hedge = true;
     /// Whether the tasks of a job start in order of expected run time.
--- a/src/jujubedrum-load/policy_model.cpp
+++ b/src/jujubedrum-load/policy_model.cpp
@@ -14,6 +14,9 @@
 /// Hedges are at most this share of the starts of an instance.
 constexpr double hedge_budget = 0.1;
 
+/// Waiting tasks that are offered to the policy at once.
+constexpr std::size_t round_size = 100;
+
 /// Pause before an overdue task that found no free slot is looked at again.
 constexpr microseconds hedge_pause = milliseconds(50);
 
@@ -27,6 +30,7 @@
     , cluster(cluster)
     , schedule(schedule)
     , servers(cluster.servers().size())
+    , job_run_times(schedule.jobs().size())
     , jobs_left(schedule.jobs().size())
 {
     this->result.policy = policy_name;
@@ -80,11 +84,22 @@
         numbers.push_back(this->tasks.size());
         this->tasks.push_back({job, &task, arrival.instance, false, false, {}});
     }
+    microseconds& longest = this->job_run_times[job];
+    for (const arriving_task& task : arrival.tasks)
+    {
+        longest =
+            std::max(longest, at.stats.reference(task.kind, task.declared));
+    }
     if (this->options.longest_first)
     {
         this->sort_longest_first(numbers, at);
     }
-    at.waiting.insert(at.waiting.end(), numbers.begin(), numbers.end());
+    const instant due = this->demand(this->tasks[numbers.front()]).due();
+    const auto place = std::upper_bound(
+        at.waiting.begin(), at.waiting.end(), due,
+        [this](instant time, std::size_t number)
+        { return time < this->demand(this->tasks[number]).due(); });
+    at.waiting.insert(place, numbers.begin(), numbers.end());
     this->dispatch(arrival.instance);
     if (job + 1 < this->schedule.jobs().size())
     {
@@ -108,23 +123,29 @@
 
 task_demand policy_model::demand(const task_state& task) const
 {
-    return {task.task->kind, 1, task.task->declared,
-            this->schedule.jobs()[task.job].repeatable};
+    const arriving_job& job = this->schedule.jobs()[task.job];
+    return {task.task->kind, 1,      task.task->declared,
+            job.repeatable,  job.at, this->job_run_times[task.job]};
 }
 
 void policy_model::dispatch(std::size_t instance)
 {
     model_instance& at = *this->instances[instance];
-    while (!at.waiting.empty())
+    at.policy->begin_round(this->loop.now());
+    auto next = at.waiting.begin();
+    std::size_t offered = 0;
+    while (next != at.waiting.end() && offered < round_size)
     {
-        const std::size_t task = at.waiting.front();
+        ++offered;
+        const std::size_t task = *next;
         const auto choice = at.policy->pick(this->demand(this->tasks[task]), "",
                                             this->loop.now());
         if (!choice)
         {
-            break;
+            ++next;
+            continue;
         }
-        at.waiting.pop_front();
+        next = at.waiting.erase(next);
         ++at.started;
         this->start(task, *choice);
     }
@@ -139,7 +160,7 @@
         return;
     }
     const auto plan =
-        at.book->plan_request(at.waiting.size(), this->loop.now());
+        at.book->plan_request(at.policy->late_tasks(), this->loop.now());
     if (!plan)
     {
         return;
--- a/src/jujubedrum-load/policy_model.hpp
+++ b/src/jujubedrum-load/policy_model.hpp
@@ -88,6 +88,8 @@
     std::vector<task_state> tasks;
     std::vector<task_copy> copies;
     std::vector<std::size_t> left;
+    /// Expected run time of the longest task of each job at slowness 1.
+    std::vector<microseconds> job_run_times;
     std::size_t jobs_left;
     std::vector<double> ratios;
     std::vector<double> repeatable_ratios;
--- a/src/libjujubedrum/placement/grant_book.cpp
+++ b/src/libjujubedrum/placement/grant_book.cpp
@@ -80,8 +80,7 @@
     }
     const std::uint64_t sequence = this->next_sequence++;
     this->open = open_request{*lender, sequence, now};
-    const unsigned extra =
-        share_of(this->pool.capacity(), this->options.headroom);
+    const unsigned extra = share_of(this->pool.owned(), this->options.headroom);
     return planned_request{*lender,
                            borrow_request{this->report_for(*lender), sequence,
                                           needed, needed + extra}};
@@ -293,8 +292,10 @@
 
 unsigned grant_book::spare() const
 {
+    // A share of the owned slots, not of the capacity, which would let an
+    // instance lend its last slot.
     const unsigned reserve =
-        share_of(this->pool.capacity(), this->options.reserve);
+        share_of(this->pool.owned(), this->options.reserve);
     const unsigned free = this->pool.free();
     return free > reserve ? free - reserve : 0;
 }
--- a/src/libjujubedrum/placement/grant_book.hpp
+++ b/src/libjujubedrum/placement/grant_book.hpp
@@ -32,7 +32,7 @@
 struct grant_options
 {
     /// Time after which borrowed slots that stayed idle are returned.
-    microseconds linger = seconds(1);
+    microseconds linger = seconds(2);
     /// Time to wait for the reply to a request.
     microseconds reply_timeout = seconds(1);
     /// Time after a refusal before the same peer is asked again; doubles with
@@ -41,9 +41,10 @@
     microseconds longest_pause = milliseconds(1600);
     /// Age after which a reported number of free slots says nothing.
     microseconds free_lifetime = seconds(2);
-    /// Share of its capacity that a lender keeps free for itself.
-    double reserve = 0.1;
-    /// Slots asked for in addition to those needed, as a share of capacity.
+    /// Share of its owned slots that a lender keeps free for itself.
+    double reserve = 0.3;
+    /// Slots asked for in addition to those needed, as a share of the
+    /// owned slots.
     double headroom = 0.1;
     lend_order order = lend_order::most_idle;
 };
--- a/src/libjujubedrum/placement/owned_slots.cpp
+++ b/src/libjujubedrum/placement/owned_slots.cpp
@@ -1,54 +1,191 @@
 #include "placement/owned_slots.hpp"
 
+#include <algorithm>
+#include <limits>
+#include <map>
+
 namespace jujubedrum
 {
 
+namespace
+{
+
+/// A task that already ran longer than expected is assumed to need this share
+/// of its elapsed time more.
+constexpr double overdue_share = 0.5;
+
+instant expected_end(instant started_at, microseconds expected, instant now)
+{
+    const instant end = started_at + expected;
+    if (end > now)
+    {
+        return end;
+    }
+    const auto elapsed = static_cast<double>((now - started_at).count());
+    return now +
+           microseconds(static_cast<std::int64_t>(elapsed * overdue_share));
+}
+
+} // namespace
+
 std::string_view owned_slots::name() const
 {
     return "owned_slots";
 }
 
-std::optional<slot_choice> owned_slots::pick(const task_demand& demand,
-                                             std::string_view exclude,
-                                             instant now)
+void owned_slots::begin_round(instant /*now*/)
 {
-    const pooled_server* best = nullptr;
-    double best_slowness = 0.0;
-    std::uint64_t ties = 0;
-    if (this->pool.free() == 0)
-    {
-        return std::nullopt;
-    }
+    this->surveyed = false;
+    this->late = 0;
+}
+
+void owned_slots::started(const slot_choice& choice, instant now)
+{
+    placement_policy::started(choice, now);
+    this->running[choice.ticket] = {choice.server, now, choice.expected};
+}
+
+void owned_slots::finished(const slot_choice& choice, instant now)
+{
+    placement_policy::finished(choice, now);
+    this->running.erase(choice.ticket);
+    this->surveyed = false;
+}
+
+void owned_slots::survey(instant now)
+{
+    this->slots.clear();
+    this->fastest = std::numeric_limits<double>::max();
+    std::map<std::string_view, const pooled_server*> busy;
     for (const auto& [name, server] : this->pool.servers())
     {
-        if (server.free() == 0)
+        const admission_state state = this->stats.admission(name, now);
+        if (!server.usable || state == admission_state::ejected)
         {
             continue;
         }
-        const admission_state state =
-            this->admission(server, demand, exclude, now);
-        if (state == admission_state::probe)
+        // Lent slots count too: with every slot lent, tasks are late all the
+        // same.
+        if (server.owned + server.borrowed > 0)
+        {
+            this->fastest = std::min(this->fastest, this->stats.slowness(name));
+        }
+        const bool probe = state == admission_state::probe;
+        if (server.free() > 0)
         {
-            return this->choose(server, demand, true);
+            this->slots.push_back({&server, this->stats.slowness(name), now,
+                                   server.free(), probe});
         }
-        if (state == admission_state::ejected)
+        // Slots that were lent while tasks ran are not free when these end.
+        if (!probe && server.busy > 0 && server.busy <= server.capacity())
+        {
+            busy.emplace(name, &server);
+        }
+    }
+    for (const auto& [ticket, task] : this->running)
+    {
+        const auto at = busy.find(task.server);
+        if (at != busy.end())
+        {
+            this->slots.push_back(
+                {at->second, this->stats.slowness(task.server),
+                 expected_end(task.started_at, task.expected, now), 1, false});
+        }
+    }
+    this->surveyed = true;
+    this->surveyed_at = now;
+}
+
+bool owned_slots::suits(const timed_slots& slot, const task_demand& demand,
+                        std::string_view exclude, instant now) const
+{
+    const backend_server& server = slot.server->server;
+    if (slot.count == 0 || server.memory_mb() < demand.memory_mb ||
+        server.name() == exclude || (slot.probe && !demand.repeatable))
+    {
+        return false;
+    }
+    // A second copy of a task starts now or not at all.
+    return slot.at > now ? exclude.empty() : slot.server->free() > 0;
+}
+
+owned_slots::timed_slots* owned_slots::select(const task_demand& demand,
+                                              std::string_view exclude,
+                                              instant now)
+{
+    const auto reference = static_cast<double>(
+        this->stats.reference(demand.kind, demand.declared).count());
+    const double ideal =
+        this->fastest *
+        std::max(reference, static_cast<double>(demand.job_run_time.count()));
+    const auto elapsed = static_cast<double>((now - demand.submitted).count());
+    const double harmless = ideal * this->tuning.slack_share - elapsed;
+    timed_slots* best = nullptr;
+    timed_slots* slack = nullptr;
+    double best_end = std::numeric_limits<double>::max();
+    for (timed_slots& slot : this->slots)
+    {
+        if (!this->suits(slot, demand, exclude, now))
         {
             continue;
         }
-        const double slowness = this->stats.slowness(name);
-        ties = slowness == best_slowness ? ties + 1 : 1;
-        if (best == nullptr || slowness < best_slowness ||
-            (slowness == best_slowness && this->random.below(ties) == 0))
+        if (slot.probe)
+        {
+            return &slot;
+        }
+        const bool is_free = slot.at <= now;
+        const double end = static_cast<double>((slot.at - now).count()) +
+                           reference * slot.slowness;
+        if (is_free && end < harmless &&
+            (slack == nullptr || slot.slowness > slack->slowness))
+        {
+            slack = &slot;
+        }
+        const double weighted = is_free ? end : end / this->tuning.wait_share;
+        if (weighted < best_end)
         {
-            best = &server;
-            best_slowness = slowness;
+            best = &slot;
+            best_end = weighted;
         }
     }
+    if (slack != nullptr)
+    {
+        return slack;
+    }
+    const bool waits = best == nullptr || best->at > now;
+    const double end = elapsed + best_end * this->tuning.wait_share;
+    if (waits && end > this->tuning.late_ratio * ideal)
+    {
+        ++this->late;
+    }
+    return best;
+}
+
+std::optional<slot_choice> owned_slots::pick(const task_demand& demand,
+                                             std::string_view exclude,
+                                             instant now)
+{
+    if (!this->surveyed || now != this->surveyed_at)
+    {
+        this->survey(now);
+    }
+    timed_slots* best = this->select(demand, exclude, now);
     if (best == nullptr)
     {
         return std::nullopt;
     }
-    return this->choose(*best, demand, false);
+    if (best->at <= now)
+    {
+        --best->count;
+        const slot_choice choice =
+            this->choose(*best->server, demand, best->probe);
+        best->count = best->probe ? 0 : best->count;
+        return choice;
+    }
+    // The slot is promised to this task; the next one finds it busy longer.
+    best->at += this->stats.expected_run_time(best->server->server.name(),
+                                              demand.kind, demand.declared);
+    return std::nullopt;
 }
 
 } // namespace jujubedrum
--- a/src/libjujubedrum/placement/placement_policy.cpp
+++ b/src/libjujubedrum/placement/placement_policy.cpp
@@ -14,9 +14,12 @@
     : pool(context.pool)
     , stats(context.stats)
     , random(context.random)
+    , tuning(context.tuning)
 {
 }
 
+void placement_policy::begin_round(instant /*now*/) {}
+
 void placement_policy::started(const slot_choice& choice, instant /*now*/)
 {
     this->pool.started(choice.server);
@@ -55,13 +58,12 @@
 }
 
 slot_choice placement_policy::choose(const pooled_server& server,
-                                     const task_demand& demand,
-                                     bool probe) const
+                                     const task_demand& demand, bool probe)
 {
     const std::string& name = server.server.name();
     return {name,
             this->stats.expected_run_time(name, demand.kind, demand.declared),
-            probe};
+            probe, ++this->last_ticket};
 }
 
 std::vector<const pooled_server*>
--- a/src/libjujubedrum/placement/placement_policy.hpp
+++ b/src/libjujubedrum/placement/placement_policy.hpp
@@ -3,11 +3,13 @@
 #include "base/random_source.hpp"
 #include "base/time.hpp"
 #include "placement/placement_reason.hpp"
+#include "placement/placement_tuning.hpp"
 #include "placement/server_stats.hpp"
 #include "placement/slot_choice.hpp"
 #include "placement/slot_pool.hpp"
 #include "placement/task_demand.hpp"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -16,19 +18,13 @@
 namespace jujubedrum
 {
 
-/// What the dispatcher minimises.
-enum class placement_objective
-{
-    response_time,
-    messages,
-};
-
 /// What a policy decides from. The referenced objects outlive the policy.
 struct placement_context
 {
     slot_pool& pool;
     server_stats& stats;
     random_source& random;
+    placement_tuning tuning{};
 };
 
 /// Chooses a backend server for each task.
@@ -42,8 +38,15 @@
 
     /// Returns the name by which `make_policy` creates the policy.
     [[nodiscard]] virtual std::string_view name() const = 0;
+    /// Forgets what earlier picks assumed about waiting tasks. Call it before
+    /// the waiting tasks are offered again, in their order. A task that has to
+    /// wait does not stop the tasks behind it.
+    virtual void begin_round(instant now);
+    /// Returns the number of tasks picked for since `begin_round` that will end
+    /// late unless more slots are borrowed.
+    [[nodiscard]] virtual std::size_t late_tasks() const { return 0; }
     /// Returns the server to start the task on now, or nothing if the task has
-    /// to wait. Changes no account: call `started` once the task is sent.
+    /// to wait. Call `started` before the next pick.
     /// \param exclude server that must not be chosen; may be empty.
     virtual std::optional<slot_choice>
     pick(const task_demand& demand, std::string_view exclude, instant now) = 0;
@@ -52,9 +55,10 @@
     [[nodiscard]] virtual bool uses_owned_slots() const { return false; }
 
     /// Accounts for a task that was sent.
-    void started(const slot_choice& choice, instant now);
+    virtual void started(const slot_choice& choice, instant now);
     /// Accounts for a task that ended in any way.
-    void finished(const slot_choice& choice, instant now);
+    /// \param choice the same choice that was passed to `started`.
+    virtual void finished(const slot_choice& choice, instant now);
 
 protected:
     /// Returns the admission of a server for a task, `ejected` if the server
@@ -65,8 +69,7 @@
                                             instant now) const;
     /// Returns the choice of a server.
     [[nodiscard]] slot_choice choose(const pooled_server& server,
-                                     const task_demand& demand,
-                                     bool probe) const;
+                                     const task_demand& demand, bool probe);
     /// Returns every server that may be given the task, owned or not.
     [[nodiscard]] std::vector<const pooled_server*>
     candidates(const task_demand& demand, std::string_view exclude,
@@ -75,6 +78,10 @@
     slot_pool& pool;
     server_stats& stats;
     random_source& random;
+    placement_tuning tuning;
+
+private:
+    std::uint64_t last_ticket = 0;
 };
 
 /// Creates a policy: owned_slots, round_robin, random_choice or two_choices.
--- a/src/libjujubedrum/placement/server_stats.cpp
+++ b/src/libjujubedrum/placement/server_stats.cpp
@@ -88,7 +88,12 @@
             : std::clamp(residual, -residual_limit, residual_limit);
     if (reference.observations > 0)
     {
-        observe(at->second, this->options.speed_weight, shift);
+        // A result far from the expectation is likely a change of speed.
+        const bool surprising = shift * shift > 9.0 * reference.log_variance;
+        observe(at->second,
+                surprising ? this->options.surprise_weight
+                           : this->options.speed_weight,
+                shift);
         const double limited =
             std::min(shift * shift, 9.0 * reference.log_variance);
         reference.log_variance +=
@@ -122,7 +127,7 @@
                             at->second.log_slowness;
     if (residual > 0.0)
     {
-        observe(at->second, this->options.speed_weight,
+        observe(at->second, this->options.surprise_weight,
                 std::min(residual, residual_limit));
     }
 }
--- a/src/libjujubedrum/placement/server_stats.hpp
+++ b/src/libjujubedrum/placement/server_stats.hpp
@@ -26,7 +26,9 @@
 struct server_stats_options
 {
     /// Weight of one observation in the speed estimate of a server.
-    double speed_weight = 0.1;
+    double speed_weight = 0.03;
+    /// The same for a run time more than 3 standard deviations off.
+    double surprise_weight = 0.2;
     /// Weight of one observation in the reference of a task kind.
     double reference_weight = 0.02;
     /// Weight of one outcome in the failure rate of a server.
--- a/src/libjujubedrum/placement/slot_choice.hpp
+++ b/src/libjujubedrum/placement/slot_choice.hpp
@@ -2,6 +2,7 @@
 
 #include "base/time.hpp"
 
+#include <cstdint>
 #include <string>
 
 namespace jujubedrum
@@ -15,6 +16,8 @@
     microseconds expected{};
     /// Whether the task tests an ejected server.
     bool probe = false;
+    /// Identifies the start within the policy that chose the server.
+    std::uint64_t ticket = 0;
 
     bool operator==(const slot_choice&) const = default;
 };
--- a/src/libjujubedrum/placement/slot_pool.cpp
+++ b/src/libjujubedrum/placement/slot_pool.cpp
@@ -171,6 +171,11 @@
     return total;
 }
 
+unsigned slot_pool::owned() const
+{
+    return sum(this->entries, &pooled_server::owned);
+}
+
 unsigned slot_pool::lent() const
 {
     return sum(this->entries, &pooled_server::lent);
--- a/src/libjujubedrum/placement/slot_pool.hpp
+++ b/src/libjujubedrum/placement/slot_pool.hpp
@@ -78,6 +78,8 @@
     [[nodiscard]] unsigned free() const { return this->free_total; }
     /// Returns the number of slots this instance may use.
     [[nodiscard]] unsigned capacity() const;
+    /// Returns the number of owned slots, lent or not.
+    [[nodiscard]] unsigned owned() const;
     /// Returns the number of owned slots that are lent.
     [[nodiscard]] unsigned lent() const;
     /// Returns the number of borrowed slots.
--- a/src/libjujubedrum/placement/task_demand.hpp
+++ b/src/libjujubedrum/placement/task_demand.hpp
@@ -16,6 +16,19 @@
     /// Run time declared by the caller; often far off.
     microseconds declared{};
     bool repeatable = false;
+    /// Time at which the job arrived.
+    instant submitted{};
+    /// Expected run time of the longest task of the job at slowness 1; 0 if
+    /// unknown. A job ends with its last task, so shorter tasks have slack.
+    microseconds job_run_time{};
+
+    /// Returns the time by which the task should end. Waiting tasks are served
+    /// in this order: small jobs pass large ones, and all are delayed by about
+    /// the same multiple of their ideal response time.
+    [[nodiscard]] instant due() const
+    {
+        return this->submitted + 2 * this->job_run_time;
+    }
 
     bool operator==(const task_demand&) const = default;
 };
