--- a/src/libjujubedrum/placement/grant_book.cpp
+++ b/src/libjujubedrum/placement/grant_book.cpp
@@ -366,12 +366,16 @@
     else if (known && request.sequence > peer->second.last_sequence)
     {
         peer->second.last_sequence = request.sequence;
-        reply.grant.slots =
+        const auto slots =
             this->lend_slots(std::min(request.wanted, this->spare()));
-        for (const slot_count& slot : reply.grant.slots)
+        for (const slot_count& slot : slots)
         {
             grants[request.sequence][slot.server] += slot.count;
         }
+        if (!slots.empty())
+        {
+            reply.grant.slots = this->remaining(grants[request.sequence]);
+        }
     }
     if (grants.empty())
     {
