Carry grants over the peer RPC and offer waiting tasks in rounds

Cause: the RPC carried single slots and the placement classes exchange whole grant reports; the queue stopped at the first task without a slot, while the policy expects every waiting task to be offered in order. Change: the wire carries grant reports; peer messages moved to the core; the queue hands out the next tasks by due time and weight; the engine asks for slots only for tasks that would end late. Ruled out: a second set of message types with conversions. Conclusion: engine, placement and RPC speak the same types.

--- a/src/libjujubedrum/engine/dispatch_engine.cpp
+++ b/src/libjujubedrum/engine/dispatch_engine.cpp
@@ -15,6 +15,10 @@
 /// Time a new instance gives its peers to report a newer configuration.
 constexpr microseconds peer_grace = milliseconds(1500);
 
+/// Time a peer may take to answer a question about a job. The caller's own
+/// wait, at most 60 s, ends it earlier.
+constexpr microseconds collect_wait = seconds(60);
+
 claim_settings claim_settings_of(const tunables& values)
 {
     claim_settings settings;
@@ -170,8 +174,9 @@
         claim->second.waiters.push_back(next.token);
         return;
     }
-    if (!known && this->pass_on(next.token, next.id, next.hops,
-                                collect_request{next.id, next.team, {}}))
+    if (!known &&
+        this->pass_on(next.token, next.id, next.hops,
+                      collect_request{next.id, next.team, collect_wait}))
     {
         return;
     }
@@ -832,8 +837,10 @@
             context.id = verdict.id;
             context.peer = verdict.instance;
             this->metrics.on_message(message_cause::forward, 2);
-            this->call(*peer, collect_request{verdict.id, job.job.team(), {}},
-                       std::move(context));
+            this->call(
+                *peer,
+                collect_request{verdict.id, job.job.team(), collect_wait},
+                std::move(context));
         }
         else
         {
@@ -865,7 +872,7 @@
         return;
     }
     const auto planned =
-        this->grants.plan_request(this->jobs.queued(), this->now);
+        this->grants.plan_request(this->jobs.late(), this->now);
     if (!planned)
     {
         return;
--- a/src/libjujubedrum/engine/job_controller.cpp
+++ b/src/libjujubedrum/engine/job_controller.cpp
@@ -16,9 +16,21 @@
 /// Time beyond the deadline until a connection without a reply is given up.
 constexpr milliseconds reply_margin{250};
 
-task_demand demand_of(const task_spec& task)
+/// Waiting tasks offered to the policy in one round. Bounds the time of a step
+/// when the queue is long.
+constexpr std::size_t round_size = 64;
+
+task_demand demand_of(const running_job& job, std::uint32_t index)
 {
-    return {task.kind(), task.memory_mb(), task.run_time(), task.repeatable()};
+    const task_spec& task = job.job.tasks()[index];
+    task_demand demand;
+    demand.kind = task.kind();
+    demand.memory_mb = task.memory_mb();
+    demand.declared = task.run_time();
+    demand.repeatable = task.repeatable();
+    demand.submitted = job.received;
+    demand.job_run_time = job.longest;
+    return demand;
 }
 
 } // namespace
@@ -41,6 +53,13 @@
     entry.tasks.resize(job.tasks().size());
     entry.unfinished = entry.tasks.size();
     entry.job = std::move(job);
+    for (const task_spec& task : entry.job.tasks())
+    {
+        entry.longest = std::max(
+            entry.longest,
+            this->services.stats.reference(task.kind(), task.run_time()));
+    }
+    entry.due = demand_of(entry, 0).due();
     this->numbers[entry.job.id()] = number;
     this->deadlines.emplace(deadline, number);
     for (std::uint32_t i = 0; i < entry.tasks.size(); ++i)
@@ -109,26 +128,17 @@
 
 void job_controller::pump(instant now)
 {
-    std::set<std::string> blocked;
-    const auto eligible = [this, &blocked](const std::string& team)
+    this->services.policy.begin_round(now);
+    for (const team_task& next : this->queue.next(round_size))
     {
-        if (blocked.contains(team))
-        {
-            return false;
-        }
-        const team_quota* quota = this->services.quotas.find(team);
-        return quota == nullptr || quota->in_flight() < quota->in_flight_cap();
-    };
-    while (this->attempts.size() < this->options.max_in_flight)
-    {
-        const auto next = this->queue.front(eligible);
-        if (!next)
+        if (this->attempts.size() >= this->options.max_in_flight)
         {
             return;
         }
-        if (!this->place(*next, now))
+        const team_quota* quota = this->services.quotas.find(next.team);
+        if (quota == nullptr || quota->in_flight() < quota->in_flight_cap())
         {
-            blocked.insert(next->team);
+            this->place(next, now);
         }
     }
 }
@@ -176,35 +186,34 @@
 void job_controller::enqueue(running_job& job, std::uint32_t index)
 {
     job.tasks[index].at = stage::queued;
-    this->queue.push(job.job.team(), {job.deadline, job.number, index});
+    this->queue.push(job.job.team(), {job.due, job.number, index});
     this->services.admitter.on_queued(job.job.team(), 1,
                                       job.job.tasks()[index].run_time());
 }
 
 void job_controller::dequeue(running_job& job, std::uint32_t index)
 {
-    if (this->queue.remove(job.job.team(), {job.deadline, job.number, index}))
+    if (this->queue.remove(job.job.team(), {job.due, job.number, index}))
     {
         this->services.admitter.on_dequeued(job.job.team(), 1,
                                             job.job.tasks()[index].run_time());
     }
 }
 
-bool job_controller::place(const team_task& next, instant now)
+void job_controller::place(const team_task& next, instant now)
 {
     running_job& job = *this->find(next.task.job);
     const std::uint32_t index = next.task.index;
     const task_spec& task = job.job.tasks()[index];
     const auto choice = this->services.policy.pick(
-        demand_of(task), job.tasks[index].server, now);
+        demand_of(job, index), job.tasks[index].server, now);
     if (!choice)
     {
-        return false;
+        return;
     }
     this->queue.pop(next);
     this->services.admitter.on_dequeued(next.team, 1, task.run_time());
     this->send(job, index, *choice, false, now);
-    return true;
 }
 
 void job_controller::send(running_job& job, std::uint32_t index,
@@ -237,13 +246,11 @@
     attempt.job = job.number;
     attempt.index = index;
     attempt.team = job.job.team();
-    attempt.server = choice.server;
+    attempt.choice = choice;
     attempt.kind = task.kind();
     attempt.declared = task.run_time();
-    attempt.expected = choice.expected;
     attempt.sent = now;
     attempt.hedge = hedged;
-    attempt.probe = choice.probe;
     this->attempts[id] = attempt;
 
     task_request request;
@@ -263,8 +270,7 @@
 
 void job_controller::release(const running_attempt& attempt, instant now)
 {
-    this->services.policy.finished(
-        {attempt.server, attempt.expected, attempt.probe}, now);
+    this->services.policy.finished(attempt.choice, now);
     if (team_quota* quota = this->services.quotas.find(attempt.team))
     {
         quota->finish_task();
@@ -276,13 +282,13 @@
 {
     if (reply.draining)
     {
-        this->services.pool.mark_leaving(attempt.server);
+        this->services.pool.mark_leaving(attempt.choice.server);
     }
     if (reply.status == send_status::answered)
     {
         const microseconds run_time =
             reply.run_time.count() > 0 ? reply.run_time : now - attempt.sent;
-        this->services.stats.on_finished(attempt.server, attempt.kind,
+        this->services.stats.on_finished(attempt.choice.server, attempt.kind,
                                          attempt.declared, run_time, now);
         return;
     }
@@ -292,7 +298,7 @@
     }
     if (!reply.draining)
     {
-        this->services.stats.on_failed(attempt.server, now);
+        this->services.stats.on_failed(attempt.choice.server, now);
     }
 }
 
@@ -313,9 +319,7 @@
     task.at = stage::done;
     task.answer = reply.result;
     const double slowness =
-        std::max(this->services.stats.slowness(attempt.server), 0.01);
-    const double fastest = this->services.stats.slowness("");
-    (void)fastest;
+        std::max(this->services.stats.slowness(attempt.choice.server), 0.01);
     job.ideal =
         std::max(job.ideal,
                  microseconds(static_cast<std::int64_t>(
@@ -350,7 +354,7 @@
     {
         this->fail_or_not_run(job, outcome_reason::task_failed,
                               "task " + std::to_string(attempt.index) + " on " +
-                                  attempt.server + ": " + reply.error,
+                                  attempt.choice.server + ": " + reply.error,
                               now);
         return;
     }
@@ -431,12 +435,14 @@
 {
     for (const auto& [id, attempt] : this->attempts)
     {
-        if (attempt.job != job.number || attempt.sent + attempt.expected - now <
-                                             this->options.stop_threshold)
+        if (attempt.job != job.number ||
+            attempt.sent + attempt.choice.expected - now <
+                this->options.stop_threshold)
         {
             continue;
         }
-        const pooled_server* server = this->services.pool.find(attempt.server);
+        const pooled_server* server =
+            this->services.pool.find(attempt.choice.server);
         if (server == nullptr)
         {
             continue;
@@ -483,13 +489,14 @@
     {
         const microseconds elapsed = now - attempt.sent;
         if (attempt.hedge || attempt.overdue_reported ||
-            elapsed < this->services.stats.run_time_bound(
-                          attempt.server, attempt.kind, attempt.declared))
+            elapsed < this->services.stats.run_time_bound(attempt.choice.server,
+                                                          attempt.kind,
+                                                          attempt.declared))
         {
             continue;
         }
         attempt.overdue_reported = true;
-        this->services.stats.on_overdue(attempt.server, attempt.kind,
+        this->services.stats.on_overdue(attempt.choice.server, attempt.kind,
                                         attempt.declared, elapsed);
         this->hedge(attempt, now);
     }
@@ -509,8 +516,8 @@
     {
         return;
     }
-    const auto choice =
-        this->services.policy.pick(demand_of(task), attempt.server, now);
+    const auto choice = this->services.policy.pick(
+        demand_of(*job, attempt.index), attempt.choice.server, now);
     if (!choice || choice->probe || !this->services.budget.try_spend(now))
     {
         return;
--- a/src/libjujubedrum/engine/job_controller.hpp
+++ b/src/libjujubedrum/engine/job_controller.hpp
@@ -90,6 +90,11 @@
     {
         return this->attempts.size();
     }
+    /// Returns the number of waiting tasks that more slots would help.
+    [[nodiscard]] std::size_t late() const
+    {
+        return this->services.policy.late_tasks();
+    }
     /// Returns the number of tasks waiting for a slot.
     [[nodiscard]] std::size_t queued() const { return this->queue.size(); }
     /// Returns the queue.
@@ -116,7 +121,7 @@
     [[nodiscard]] running_job* find(std::uint64_t number);
     void enqueue(running_job& job, std::uint32_t index);
     void dequeue(running_job& job, std::uint32_t index);
-    bool place(const team_task& next, instant now);
+    void place(const team_task& next, instant now);
     void send(running_job& job, std::uint32_t index, const slot_choice& choice,
               bool hedge, instant now);
     void release(const running_attempt& attempt, instant now);
--- a/src/libjujubedrum/engine/running_job.hpp
+++ b/src/libjujubedrum/engine/running_job.hpp
@@ -3,6 +3,7 @@
 #include "base/time.hpp"
 #include "engine/task_io.hpp"
 #include "jobs/submission.hpp"
+#include "placement/slot_choice.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -47,6 +48,10 @@
     std::uint64_t number = 0;
     instant received{0};
     instant deadline{0};
+    /// Time by which the job should end; its tasks are served in this order.
+    instant due{0};
+    /// Expected run time of the longest task at slowness 1.
+    microseconds longest{0};
     std::vector<task_progress> tasks;
     std::size_t unfinished = 0;
     std::vector<request_token> waiters;
@@ -63,13 +68,11 @@
     std::uint64_t job = 0;
     std::uint32_t index = 0;
     std::string team;
-    std::string server;
+    slot_choice choice;
     std::string kind;
     microseconds declared{0};
-    microseconds expected{0};
     instant sent{0};
     bool hedge = false;
-    bool probe = false;
     bool overdue_reported = false;
 };
 
--- a/src/libjujubedrum/engine/task_queue.cpp
+++ b/src/libjujubedrum/engine/task_queue.cpp
@@ -37,26 +37,40 @@
     }
 }
 
-std::optional<team_task>
-task_queue::front(const std::function<bool(const std::string&)>& eligible) const
+std::vector<team_task> task_queue::next(std::size_t count) const
 {
-    const std::pair<const std::string, team_queue>* best = nullptr;
-    for (const auto& entry : this->teams)
+    struct cursor
     {
-        if (entry.second.tasks.empty() || !eligible(entry.first))
-        {
-            continue;
-        }
-        if (best == nullptr || entry.second.served < best->second.served)
+        const std::string* team;
+        std::set<queued_task>::const_iterator at;
+        std::set<queued_task>::const_iterator end;
+        double served;
+        double weight;
+    };
+    std::vector<cursor> cursors;
+    for (const auto& [name, queue] : this->teams)
+    {
+        if (!queue.tasks.empty())
         {
-            best = &entry;
+            cursors.push_back({&name, queue.tasks.begin(), queue.tasks.end(),
+                               queue.served, queue.weight});
         }
     }
-    if (best == nullptr)
+    std::vector<team_task> order;
+    while (order.size() < count && !cursors.empty())
     {
-        return std::nullopt;
+        const auto best =
+            std::min_element(cursors.begin(), cursors.end(),
+                             [](const cursor& left, const cursor& right)
+                             { return left.served < right.served; });
+        order.push_back({*best->team, *best->at});
+        best->served += 1.0 / best->weight;
+        if (++best->at == best->end)
+        {
+            cursors.erase(best);
+        }
     }
-    return team_task{best->first, *best->second.tasks.begin()};
+    return order;
 }
 
 void task_queue::pop(const team_task& task)
--- a/src/libjujubedrum/engine/task_queue.hpp
+++ b/src/libjujubedrum/engine/task_queue.hpp
@@ -4,11 +4,10 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace jujubedrum
 {
@@ -16,7 +15,8 @@
 /// A task that waits for a free slot.
 struct queued_task
 {
-    instant deadline{0};
+    /// Time by which the task should end; tasks are served in this order.
+    instant due{0};
     /// Internal number of the job.
     std::uint64_t job = 0;
     std::uint32_t index = 0;
@@ -33,7 +33,7 @@
     bool operator==(const team_task&) const = default;
 };
 
-/// Bounded queue of tasks. Tasks of one team leave in deadline order; teams
+/// Bounded queue of tasks. Tasks of one team are served by due time; teams
 /// share the free slots by weighted round robin.
 class task_queue
 {
@@ -54,12 +54,11 @@
     /// even if the queue is full, because its job was admitted as a whole.
     void push(const std::string& team, const queued_task& task);
 
-    /// Returns the task whose turn it is among the teams that are eligible,
-    /// without removing it.
-    [[nodiscard]] std::optional<team_task>
-    front(const std::function<bool(const std::string&)>& eligible) const;
+    /// Returns the tasks whose turn it is next, in order and at most `count`,
+    /// without removing them.
+    [[nodiscard]] std::vector<team_task> next(std::size_t count) const;
 
-    /// Removes a task that `front` returned and charges its team.
+    /// Removes a task that `next` returned and charges its team.
     void pop(const team_task& task);
 
     /// Removes one task of a job that ended. Returns whether it was waiting.
--- a/src/libruntime/peer.capnp
+++ b/src/libruntime/peer.capnp
@@ -41,9 +41,10 @@
   # took 576 bytes instead of about 130, and heartbeats are most of the control
   # traffic.
 
-  borrow @1 (borrower :Text, sequence :UInt64, needed :UInt32, wanted :UInt32,
-             free :UInt32)
-      -> (lender :Text, grant :Grant, free :UInt32, failure :Failure);
+  borrow @1 (grants :GrantReport, sequence :UInt64, needed :UInt32,
+             wanted :UInt32)
+      -> (grant :Grant, grants :GrantReport, revoked :List(UInt64),
+          failure :Failure);
   giveBack @2 (grants :GrantReport)
       -> (revoked :List(UInt64), failure :Failure);
   submit @3 (job :Text, remainingUs :Int64, hops :UInt32)
--- a/src/libruntime/peer.capnp.h
+++ b/src/libruntime/peer.capnp.h
@@ -190,7 +190,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(daab0d382c9c0930, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(daab0d382c9c0930, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -205,7 +205,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c34eec6dd585263e, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c34eec6dd585263e, 0, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1126,8 +1126,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBorrower() const;
-  inline  ::capnp::Text::Reader getBorrower() const;
+  inline bool hasGrants() const;
+  inline  ::jujubedrum::wire::GrantReport::Reader getGrants() const;
 
   inline  ::uint64_t getSequence() const;
 
@@ -1135,8 +1135,6 @@
 
   inline  ::uint32_t getWanted() const;
 
-  inline  ::uint32_t getFree() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1165,12 +1163,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBorrower();
-  inline  ::capnp::Text::Builder getBorrower();
-  inline void setBorrower( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initBorrower(unsigned int size);
-  inline void adoptBorrower(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownBorrower();
+  inline bool hasGrants();
+  inline  ::jujubedrum::wire::GrantReport::Builder getGrants();
+  inline void setGrants( ::jujubedrum::wire::GrantReport::Reader value);
+  inline  ::jujubedrum::wire::GrantReport::Builder initGrants();
+  inline void adoptGrants(::capnp::Orphan< ::jujubedrum::wire::GrantReport>&& value);
+  inline ::capnp::Orphan< ::jujubedrum::wire::GrantReport> disownGrants();
 
   inline  ::uint64_t getSequence();
   inline void setSequence( ::uint64_t value);
@@ -1181,9 +1179,6 @@
   inline  ::uint32_t getWanted();
   inline void setWanted( ::uint32_t value);
 
-  inline  ::uint32_t getFree();
-  inline void setFree( ::uint32_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1202,6 +1197,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::jujubedrum::wire::GrantReport::Pipeline getGrants();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1227,13 +1223,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasLender() const;
-  inline  ::capnp::Text::Reader getLender() const;
-
   inline bool hasGrant() const;
   inline  ::jujubedrum::wire::Grant::Reader getGrant() const;
 
-  inline  ::uint32_t getFree() const;
+  inline bool hasGrants() const;
+  inline  ::jujubedrum::wire::GrantReport::Reader getGrants() const;
+
+  inline bool hasRevoked() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRevoked() const;
 
   inline bool hasFailure() const;
   inline  ::jujubedrum::wire::Failure::Reader getFailure() const;
@@ -1266,13 +1263,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasLender();
-  inline  ::capnp::Text::Builder getLender();
-  inline void setLender( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initLender(unsigned int size);
-  inline void adoptLender(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownLender();
-
   inline bool hasGrant();
   inline  ::jujubedrum::wire::Grant::Builder getGrant();
   inline void setGrant( ::jujubedrum::wire::Grant::Reader value);
@@ -1280,8 +1270,20 @@
   inline void adoptGrant(::capnp::Orphan< ::jujubedrum::wire::Grant>&& value);
   inline ::capnp::Orphan< ::jujubedrum::wire::Grant> disownGrant();
 
-  inline  ::uint32_t getFree();
-  inline void setFree( ::uint32_t value);
+  inline bool hasGrants();
+  inline  ::jujubedrum::wire::GrantReport::Builder getGrants();
+  inline void setGrants( ::jujubedrum::wire::GrantReport::Reader value);
+  inline  ::jujubedrum::wire::GrantReport::Builder initGrants();
+  inline void adoptGrants(::capnp::Orphan< ::jujubedrum::wire::GrantReport>&& value);
+  inline ::capnp::Orphan< ::jujubedrum::wire::GrantReport> disownGrants();
+
+  inline bool hasRevoked();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRevoked();
+  inline void setRevoked( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRevoked(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRevoked(unsigned int size);
+  inline void adoptRevoked(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRevoked();
 
   inline bool hasFailure();
   inline  ::jujubedrum::wire::Failure::Builder getFailure();
@@ -1309,6 +1311,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::jujubedrum::wire::Grant::Pipeline getGrant();
+  inline  ::jujubedrum::wire::GrantReport::Pipeline getGrants();
   inline  ::jujubedrum::wire::Failure::Pipeline getFailure();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -2765,37 +2768,42 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::BorrowParams::Reader::hasBorrower() const {
+inline bool Peer::BorrowParams::Reader::hasGrants() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::BorrowParams::Builder::hasBorrower() {
+inline bool Peer::BorrowParams::Builder::hasGrants() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::BorrowParams::Reader::getBorrower() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::jujubedrum::wire::GrantReport::Reader Peer::BorrowParams::Reader::getGrants() const {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::BorrowParams::Builder::getBorrower() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::jujubedrum::wire::GrantReport::Builder Peer::BorrowParams::Builder::getGrants() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::BorrowParams::Builder::setBorrower( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::jujubedrum::wire::GrantReport::Pipeline Peer::BorrowParams::Pipeline::getGrants() {
+  return  ::jujubedrum::wire::GrantReport::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::BorrowParams::Builder::setGrants( ::jujubedrum::wire::GrantReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::BorrowParams::Builder::initBorrower(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::jujubedrum::wire::GrantReport::Builder Peer::BorrowParams::Builder::initGrants() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::BorrowParams::Builder::adoptBorrower(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Peer::BorrowParams::Builder::adoptGrants(
+    ::capnp::Orphan< ::jujubedrum::wire::GrantReport>&& value) {
+  ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::BorrowParams::Builder::disownBorrower() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::jujubedrum::wire::GrantReport> Peer::BorrowParams::Builder::disownGrants() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -2841,144 +2849,159 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Peer::BorrowParams::Reader::getFree() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Peer::BorrowParams::Builder::getFree() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Peer::BorrowParams::Builder::setFree( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Peer::BorrowResults::Reader::hasLender() const {
+inline bool Peer::BorrowResults::Reader::hasGrant() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::BorrowResults::Builder::hasLender() {
+inline bool Peer::BorrowResults::Builder::hasGrant() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::BorrowResults::Reader::getLender() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::jujubedrum::wire::Grant::Reader Peer::BorrowResults::Reader::getGrant() const {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Grant>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::BorrowResults::Builder::getLender() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::jujubedrum::wire::Grant::Builder Peer::BorrowResults::Builder::getGrant() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Grant>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::BorrowResults::Builder::setLender( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::jujubedrum::wire::Grant::Pipeline Peer::BorrowResults::Pipeline::getGrant() {
+  return  ::jujubedrum::wire::Grant::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::BorrowResults::Builder::setGrant( ::jujubedrum::wire::Grant::Reader value) {
+  ::capnp::_::PointerHelpers< ::jujubedrum::wire::Grant>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::BorrowResults::Builder::initLender(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::jujubedrum::wire::Grant::Builder Peer::BorrowResults::Builder::initGrant() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Grant>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::BorrowResults::Builder::adoptLender(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Peer::BorrowResults::Builder::adoptGrant(
+    ::capnp::Orphan< ::jujubedrum::wire::Grant>&& value) {
+  ::capnp::_::PointerHelpers< ::jujubedrum::wire::Grant>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::BorrowResults::Builder::disownLender() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::jujubedrum::wire::Grant> Peer::BorrowResults::Builder::disownGrant() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Grant>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::BorrowResults::Reader::hasGrant() const {
+inline bool Peer::BorrowResults::Reader::hasGrants() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::BorrowResults::Builder::hasGrant() {
+inline bool Peer::BorrowResults::Builder::hasGrants() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::jujubedrum::wire::Grant::Reader Peer::BorrowResults::Reader::getGrant() const {
-  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Grant>::get(_reader.getPointerField(
+inline  ::jujubedrum::wire::GrantReport::Reader Peer::BorrowResults::Reader::getGrants() const {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::jujubedrum::wire::Grant::Builder Peer::BorrowResults::Builder::getGrant() {
-  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Grant>::get(_builder.getPointerField(
+inline  ::jujubedrum::wire::GrantReport::Builder Peer::BorrowResults::Builder::getGrants() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::jujubedrum::wire::Grant::Pipeline Peer::BorrowResults::Pipeline::getGrant() {
-  return  ::jujubedrum::wire::Grant::Pipeline(_typeless.getPointerField(1));
+inline  ::jujubedrum::wire::GrantReport::Pipeline Peer::BorrowResults::Pipeline::getGrants() {
+  return  ::jujubedrum::wire::GrantReport::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::BorrowResults::Builder::setGrant( ::jujubedrum::wire::Grant::Reader value) {
-  ::capnp::_::PointerHelpers< ::jujubedrum::wire::Grant>::set(_builder.getPointerField(
+inline void Peer::BorrowResults::Builder::setGrants( ::jujubedrum::wire::GrantReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::jujubedrum::wire::Grant::Builder Peer::BorrowResults::Builder::initGrant() {
-  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Grant>::init(_builder.getPointerField(
+inline  ::jujubedrum::wire::GrantReport::Builder Peer::BorrowResults::Builder::initGrants() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Peer::BorrowResults::Builder::adoptGrant(
-    ::capnp::Orphan< ::jujubedrum::wire::Grant>&& value) {
-  ::capnp::_::PointerHelpers< ::jujubedrum::wire::Grant>::adopt(_builder.getPointerField(
+inline void Peer::BorrowResults::Builder::adoptGrants(
+    ::capnp::Orphan< ::jujubedrum::wire::GrantReport>&& value) {
+  ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::jujubedrum::wire::Grant> Peer::BorrowResults::Builder::disownGrant() {
-  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Grant>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::jujubedrum::wire::GrantReport> Peer::BorrowResults::Builder::disownGrants() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::wire::GrantReport>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Peer::BorrowResults::Reader::getFree() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::BorrowResults::Reader::hasRevoked() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t Peer::BorrowResults::Builder::getFree() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::BorrowResults::Builder::hasRevoked() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void Peer::BorrowResults::Builder::setFree( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Peer::BorrowResults::Reader::getRevoked() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::BorrowResults::Builder::getRevoked() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Peer::BorrowResults::Builder::setRevoked( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Peer::BorrowResults::Builder::setRevoked(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::BorrowResults::Builder::initRevoked(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Peer::BorrowResults::Builder::adoptRevoked(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Peer::BorrowResults::Builder::disownRevoked() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::BorrowResults::Reader::hasFailure() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::BorrowResults::Builder::hasFailure() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline  ::jujubedrum::wire::Failure::Reader Peer::BorrowResults::Reader::getFailure() const {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline  ::jujubedrum::wire::Failure::Builder Peer::BorrowResults::Builder::getFailure() {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
 inline  ::jujubedrum::wire::Failure::Pipeline Peer::BorrowResults::Pipeline::getFailure() {
-  return  ::jujubedrum::wire::Failure::Pipeline(_typeless.getPointerField(2));
+  return  ::jujubedrum::wire::Failure::Pipeline(_typeless.getPointerField(3));
 }
 #endif  // !CAPNP_LITE
 inline void Peer::BorrowResults::Builder::setFailure( ::jujubedrum::wire::Failure::Reader value) {
   ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
 inline  ::jujubedrum::wire::Failure::Builder Peer::BorrowResults::Builder::initFailure() {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline void Peer::BorrowResults::Builder::adoptFailure(
     ::capnp::Orphan< ::jujubedrum::wire::Failure>&& value) {
   ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::jujubedrum::wire::Failure> Peer::BorrowResults::Builder::disownFailure() {
   return ::capnp::_::PointerHelpers< ::jujubedrum::wire::Failure>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::GiveBackParams::Reader::hasGrants() const {
--- a/src/libruntime/peer_calls.cpp
+++ b/src/libruntime/peer_calls.cpp
@@ -72,6 +72,8 @@
                                  { return submit.job.size(); },
                                  [](const grant_report& report)
                                  { return report_bytes(report); },
+                                 [](const borrow_request& borrow)
+                                 { return report_bytes(borrow.report); },
                                  [](const heartbeat_request& heartbeat)
                                  { return report_bytes(heartbeat.grants); },
                                  [](const auto&) { return std::size_t{0}; }},
@@ -104,18 +106,17 @@
             [&](const borrow_request& from)
             {
                 auto request = peer.borrowRequest();
-                request.setBorrower(to_text(from.borrower));
+                write_report(request.initGrants(), from.report);
                 request.setSequence(from.sequence);
                 request.setNeeded(from.needed);
                 request.setWanted(from.wanted);
-                request.setFree(from.free);
                 return send(kj::mv(request), call, meter,
                             [](auto& response) -> peer_reply
                             {
                                 return borrow_reply{
-                                    from_text(response.getLender()),
                                     read_grant(response.getGrant()),
-                                    response.getFree()};
+                                    read_report(response.getGrants()),
+                                    read_ids(response.getRevoked())};
                             });
             },
             [&](const grant_report& from)
--- a/src/libruntime/peer_calls.hpp
+++ b/src/libruntime/peer_calls.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "peer.capnp.h"
 #include "engine/peer_messages.hpp"
+#include "peer.capnp.h"
 #include "peer_meter.hpp"
 
 #include <cstddef>
--- a/src/libruntime/peer_link.hpp
+++ b/src/libruntime/peer_link.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "peer_connection.hpp"
 #include "engine/peer_messages.hpp"
+#include "peer_connection.hpp"
 #include "peer_meter.hpp"
 #include "peer_options.hpp"
 
--- a/src/libruntime/peer_network.hpp
+++ b/src/libruntime/peer_network.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "base/reason.hpp"
+#include "engine/peer_messages.hpp"
 #include "peer_counters.hpp"
 #include "peer_handler.hpp"
-#include "engine/peer_messages.hpp"
 #include "peer_options.hpp"
 
 #include <cstdint>
--- a/src/libruntime/peer_service.cpp
+++ b/src/libruntime/peer_service.cpp
@@ -163,15 +163,15 @@
         context,
         [](auto params)
         {
-            return borrow_request{from_text(params.getBorrower()),
+            return borrow_request{read_report(params.getGrants()),
                                   params.getSequence(), params.getNeeded(),
-                                  params.getWanted(), params.getFree()};
+                                  params.getWanted()};
         },
         [](auto results, const borrow_reply& reply)
         {
-            results.setLender(to_text(reply.lender));
-            results.setFree(reply.free);
             write_grant(results.initGrant(), reply.grant);
+            write_report(results.initGrants(), reply.report);
+            write_revoked(results, reply.revoked);
         });
 }
 
--- a/tests/unit/peer_network_test.cpp
+++ b/tests/unit/peer_network_test.cpp
@@ -31,19 +31,21 @@
         }
         if (auto* beat = std::get_if<heartbeat_request>(&request))
         {
-            reply(heartbeat_reply{beat->digest});
+            reply(heartbeat_reply{beat->digest, {beat->grants.through}});
         }
         else if (auto* ask = std::get_if<borrow_request>(&request))
         {
-            reply(borrow_reply{{{7, ask->borrower, ask->count}}});
+            reply(borrow_reply{{ask->sequence, {{"s", ask->needed}}},
+                               ask->report,
+                               {ask->wanted}});
         }
         else if (auto* job = std::get_if<submit_request>(&request))
         {
-            reply(submit_reply{job->job});
+            reply(job_reply{job->job});
         }
         else if (auto* from = std::get_if<config_records_request>(&request))
         {
-            reply(config_records_reply{from->from + 1, {{from->from, "{}"}}});
+            reply(config_records_reply{{{from->from, "{}"}}});
         }
         else if (std::holds_alternative<cancel_request>(request))
         {
@@ -135,9 +137,9 @@
                              9,      11,
                              3,      4,
                              {1, 2}, {{"c", 6, 7, peer_state::unreachable, 8}}};
-    const peer_reply reply = this->call(heartbeat_request{digest});
-    BOOST_REQUIRE(std::holds_alternative<heartbeat_reply>(reply));
-    BOOST_TEST((std::get<heartbeat_reply>(reply).digest == digest));
+    const peer_reply reply =
+        this->call(heartbeat_request{digest, {"a", 12, {}, {}, 0}});
+    BOOST_TEST((reply == peer_reply(heartbeat_reply{digest, {12}})));
     BOOST_TEST(this->a.counters().calls[0].calls_out == 1U);
     BOOST_TEST(this->b.counters().calls[0].calls_in == 1U);
 }
@@ -148,11 +150,12 @@
 {
     const std::string job(8 << 20, 'x');
     BOOST_TEST((this->call(submit_request{job, seconds(5), 0}) ==
-                peer_reply(submit_reply{job})));
-    BOOST_TEST((this->call(borrow_request{"a", 1, 4, 0.5}) ==
-                peer_reply(borrow_reply{{{7, "a", 4}}})));
-    BOOST_TEST((this->call(config_records_request{3, 10}) ==
-                peer_reply(config_records_reply{4, {{3, "{}"}}})));
+                peer_reply(job_reply{job})));
+    const grant_report held{"a", 8, {{5, {{"s", 2}}}}, {6, 7}, 3};
+    BOOST_TEST((this->call(borrow_request{held, 9, 4, 6}) ==
+                peer_reply(borrow_reply{{9, {{"s", 4}}}, held, {6}})));
+    BOOST_TEST((this->call(config_records_request{3}) ==
+                peer_reply(config_records_reply{{{3, "{}"}}})));
     BOOST_TEST(this->a.counters().connections_opened == 1U);
 }
 
@@ -161,8 +164,8 @@
 BOOST_AUTO_TEST_CASE(call_unanswered_by_handler_is_refused)
 {
     for (const peer_request& request :
-         {peer_request(give_back_request{"a", 1, {7}}),
-          peer_request(cancel_request{"j"})})
+         {peer_request(grant_report{"a", 1, {}, {}, 0}),
+          peer_request(cancel_request{"j", "t"})})
     {
         const peer_failure why = failure(this->call(request));
         BOOST_TEST((why.error == peer_error::refused));
@@ -174,12 +177,13 @@
 // thread, and against one waiting call that blocks others.
 BOOST_AUTO_TEST_CASE(call_late_reply_from_another_thread_arrives)
 {
-    auto waiting = this->post(this->to_b(), collect_request{"j", seconds(25)});
+    auto waiting =
+        this->post(this->to_b(), collect_request{"j", "t", seconds(25)});
     auto reply = this->handler_b.take_held();
-    this->call(heartbeat_request{});
-    std::thread([&reply] { reply(collect_reply{"{}"}); }).join();
+    this->call(heartbeat_request{{}, {}});
+    std::thread([&reply] { reply(job_reply{"{}"}); }).join();
     BOOST_REQUIRE(waiting.wait_for(seconds(20)) == std::future_status::ready);
-    BOOST_TEST((waiting.get() == peer_reply(collect_reply{"{}"})));
+    BOOST_TEST((waiting.get() == peer_reply(job_reply{"{}"})));
 }
 
 // Guards against a caller that retries elsewhere although the request may
@@ -187,12 +191,12 @@
 BOOST_AUTO_TEST_CASE(call_timeout_may_have_been_delivered)
 {
     const peer_failure why =
-        failure(this->call(collect_request{"j", microseconds(0)}));
+        failure(this->call(collect_request{"j", "t", microseconds(0)}));
     BOOST_TEST((why.error == peer_error::timeout));
     BOOST_TEST((why.delivery == peer_delivery::unknown));
-    this->handler_b.take_held()(collect_reply{"late"});
+    this->handler_b.take_held()(job_reply{"late"});
     BOOST_TEST((this->call(submit_request{"x", seconds(5), 0}) ==
-                peer_reply(submit_reply{"x"})));
+                peer_reply(job_reply{"x"})));
 }
 
 // Guards against a request counted as possibly delivered although no
@@ -204,12 +208,12 @@
     for (int i = 0; i < 3; ++i)
     {
         const peer_failure why =
-            failure(this->call(closed, heartbeat_request{}));
+            failure(this->call(closed, heartbeat_request{{}, {}}));
         BOOST_TEST((why.error == peer_error::unreachable));
         BOOST_TEST((why.delivery == peer_delivery::not_sent));
     }
     const peer_failure why =
-        failure(this->call({"d", "localhost", 1}, heartbeat_request{}));
+        failure(this->call({"d", "localhost", 1}, heartbeat_request{{}, {}}));
     BOOST_TEST((why.delivery == peer_delivery::not_sent));
 }
 
@@ -218,14 +222,14 @@
 BOOST_AUTO_TEST_CASE(call_peer_restart_fails_open_call_and_reconnects)
 {
     const peer_address to = this->to_b();
-    auto waiting = this->post(to, collect_request{"j", seconds(25)});
+    auto waiting = this->post(to, collect_request{"j", "t", seconds(25)});
     auto reply = this->handler_b.take_held();
     this->b.stop();
     BOOST_REQUIRE(waiting.wait_for(seconds(20)) == std::future_status::ready);
     const peer_failure why = failure(waiting.get());
     BOOST_TEST((why.error == peer_error::unreachable));
     BOOST_TEST((why.delivery == peer_delivery::unknown));
-    reply(collect_reply{"after the end"});
+    reply(job_reply{"after the end"});
 
     peer_options options;
     options.rpc_port = to.rpc_port;
@@ -234,7 +238,7 @@
     for (int i = 0; i < 200 && !recovered; ++i)
     {
         recovered = std::holds_alternative<heartbeat_reply>(
-            this->call(to, heartbeat_request{}));
+            this->call(to, heartbeat_request{{}, {}}));
         std::this_thread::sleep_for(milliseconds(50));
     }
     BOOST_TEST(recovered);
@@ -251,7 +255,7 @@
     std::atomic<int> ended = 0;
     for (int i = 0; i < 10; ++i)
     {
-        small.call(this->to_b(), collect_request{"j", seconds(25)},
+        small.call(this->to_b(), collect_request{"j", "t", seconds(25)},
                    [&](peer_reply reply)
                    {
                        const auto* why = std::get_if<peer_failure>(&reply);
