--- a/src/libjujubedrum/membership/instance_info.hpp
+++ b/src/libjujubedrum/membership/instance_info.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
 
@@ -41,7 +40,7 @@
     std::uint64_t memory_mb = 0;
     listed_state state = listed_state::live;
 
-    auto operator<=>(const instance_info&) const = default;
+    bool operator==(const instance_info&) const = default;
 };
 
 } // namespace jujubedrum
--- a/src/libjujubedrum/membership/member_table.cpp
+++ b/src/libjujubedrum/membership/member_table.cpp
@@ -698,7 +698,8 @@
             owners.push_back(peer.info);
         }
     }
-    std::sort(owners.begin(), owners.end());
+    std::sort(owners.begin(), owners.end(),
+              [](const auto& a, const auto& b) { return a.name < b.name; });
     return owners;
 }
 
--- a/src/libjujubedrum/membership/peer_digest.hpp
+++ b/src/libjujubedrum/membership/peer_digest.hpp
@@ -40,7 +40,7 @@
     /// Configuration revision.
     std::uint64_t revision = 0;
 
-    auto operator<=>(const peer_observation&) const = default;
+    bool operator==(const peer_observation&) const = default;
 };
 
 /// Contents of a heartbeat, in both directions.
@@ -64,7 +64,7 @@
     std::vector<std::uint64_t> held_grants;
     std::vector<peer_observation> observations;
 
-    auto operator<=>(const peer_digest&) const = default;
+    bool operator==(const peer_digest&) const = default;
 };
 
 } // namespace jujubedrum
--- a/src/libruntime/peer_caller.cpp
+++ b/src/libruntime/peer_caller.cpp
@@ -119,7 +119,7 @@
     {
         link = std::make_shared<peer_link>(this->shared, to);
     }
-    const auto found = link;
+    auto found = link;
     this->drop_idle_links();
     return found;
 }
--- a/src/libruntime/peer_convert.cpp
+++ b/src/libruntime/peer_convert.cpp
@@ -41,7 +41,10 @@
 {
     membership_reason why;
     auto digest = decode_digest(from_data(from), why);
-    KJ_REQUIRE(digest.has_value(), "malformed digest");
+    if (!digest)
+    {
+        kj::throwFatalException(KJ_EXCEPTION(FAILED, "malformed digest"));
+    }
     return std::move(*digest);
 }
 
--- a/src/libruntime/peer_loop.cpp
+++ b/src/libruntime/peer_loop.cpp
@@ -57,7 +57,11 @@
         auto io = kj::setupAsyncIo();
         const auto address = socket_address::parse(this->options.address,
                                                    this->options.rpc_port);
-        KJ_REQUIRE(address.has_value(), "not a numeric IP address");
+        if (!address)
+        {
+            kj::throwFatalException(
+                KJ_EXCEPTION(FAILED, "not a numeric IP address"));
+        }
         auto socket = io.provider->getNetwork()
                           .getSockaddr(address->data(), address->size())
                           ->listen();
@@ -128,14 +132,10 @@
                                     kj::TaskSet& tasks)
 {
     return socket.accept()
-        .then(
-            [this, service, &tasks](
-                kj::Own<kj::AsyncIoStream> stream) mutable -> kj::Promise<void>
-            {
-                this->serve_connection(kj::mv(stream), service, tasks);
-                return kj::READY_NOW;
-            },
-            [this, &timer](kj::Exception&& error) -> kj::Promise<void>
+        .then([this, service, &tasks](kj::Own<kj::AsyncIoStream> stream) mutable
+              { this->serve_connection(kj::mv(stream), service, tasks); })
+        .catch_(
+            [this, &timer](kj::Exception&& error)
             {
                 // Descriptors may be used up; accept at once would spin.
                 this->taskFailed(kj::mv(error));
--- a/src/libruntime/peer_messages.hpp
+++ b/src/libruntime/peer_messages.hpp
@@ -20,7 +20,7 @@
     std::string address;
     std::uint16_t rpc_port = 0;
 
-    auto operator<=>(const peer_address&) const = default;
+    bool operator==(const peer_address&) const = default;
 };
 
 /// Slots of a backend server that an owner lends.
@@ -31,7 +31,7 @@
     std::string server;
     std::uint32_t slots = 0;
 
-    auto operator<=>(const slot_grant&) const = default;
+    bool operator==(const slot_grant&) const = default;
 };
 
 /// A record of the configuration stream.
@@ -40,7 +40,7 @@
     std::uint64_t offset = 0;
     std::string data;
 
-    auto operator<=>(const stream_record&) const = default;
+    bool operator==(const stream_record&) const = default;
 };
 
 struct heartbeat_request
