--- a/tests/unit/peer_network_test.cpp
+++ b/tests/unit/peer_network_test.cpp
@@ -1,4 +1,5 @@
 #include "peer_network.hpp"
+#include "socket_address.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -10,6 +11,9 @@
 #include <thread>
 #include <vector>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace jujubedrum;
 
 namespace
@@ -279,6 +283,28 @@
     BOOST_TEST((why.delivery == peer_delivery::not_sent));
 }
 
+// Guards against a stray connection that stops the server from accepting.
+BOOST_AUTO_TEST_CASE(server_garbage_and_reset_connections_are_survived)
+{
+    const auto at = socket_address::parse("127.0.0.1", this->b.port());
+    const std::string garbage(64, '\xff');
+    for (int i = 0; i < 20; ++i)
+    {
+        const int stray = ::socket(AF_INET, SOCK_STREAM, 0);
+        BOOST_REQUIRE(::connect(stray, at->data(), at->size()) == 0);
+        if (i % 2 == 0)
+        {
+            (void)::send(stray, garbage.data(), garbage.size(), MSG_NOSIGNAL);
+        }
+        // Closing with a zero linger time resets the connection.
+        const linger reset{1, 0};
+        ::setsockopt(stray, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        ::close(stray);
+    }
+    BOOST_TEST(std::holds_alternative<heartbeat_reply>(
+        this->call(heartbeat_request{})));
+}
+
 // Guards against a second process that silently shares or steals a port.
 BOOST_AUTO_TEST_CASE(create_used_port_returns_reason)
 {
