Connect entry instances through the peer network

Cause: peers were shown as suspect and foreign ids could not be forwarded, because no network was attached to the engine. Change: peer_gateway joins the Cap'n Proto network and the engine host; the daemon starts it and prints its RPC port.

--- a/src/jujubedrumd/daemon.cpp
+++ b/src/jujubedrumd/daemon.cpp
@@ -1,5 +1,8 @@
 #include "daemon.hpp"
 
+#include "peer_gateway.hpp"
+#include "peer_network.hpp"
+
 #include <chrono>
 #include <csignal>
 #include <random>
@@ -23,17 +26,14 @@
     return ((high << 32U) | device()) | 1U;
 }
 
-/// Fails every call; used while the instance has no peer network.
-class no_peers : public peer_transport
+peer_options options_of(const settings& values)
 {
-public:
-    void call(peer_address /*to*/, peer_request /*request*/,
-              std::function<void(peer_reply)> done) override
-    {
-        done(peer_failure{peer_error::unreachable, peer_delivery::not_sent,
-                          "no peer network"});
-    }
-};
+    peer_options options;
+    options.address = values.listen_address();
+    options.rpc_port = values.rpc_port();
+    options.connect_timeout = values.tunables().connect_timeout;
+    return options;
+}
 
 } // namespace
 
@@ -47,7 +47,15 @@
 
 int daemon::run()
 {
-    no_peers peers;
+    peer_gateway gateway(this->host);
+    peer_reason why;
+    auto network = peer_network::create(options_of(this->values), gateway, why);
+    if (!network)
+    {
+        LOG(ERROR) << "peer: cannot listen; reason=\"" << why.message() << "\"";
+        return 1;
+    }
+    gateway.connect(*network);
     const auto port = this->frontend.start();
     if (!port)
     {
@@ -56,13 +64,15 @@
                    << " port=" << this->values.http_port();
         return 1;
     }
-    this->host.start(peers);
+    this->host.start(gateway);
     LOG(INFO) << "daemon: started; instance=" << this->values.instance()
               << " domain=" << this->values.domain() << " port=" << *port
-              << " rpc_port=" << this->values.rpc_port();
+              << " rpc_port=" << network->port();
     this->wait_for_signal();
     this->drain();
     this->frontend.stop();
+    // The network first: its callbacks post events to the host.
+    network->stop();
     this->host.stop();
     LOG(INFO) << "daemon: stopped; instance=" << this->values.instance();
     return 0;
--- a/src/libjujubedrum/engine/peer_messages.hpp
+++ b/src/libjujubedrum/engine/peer_messages.hpp
@@ -22,7 +22,7 @@
     std::string address;
     std::uint16_t rpc_port = 0;
 
-    auto operator<=>(const peer_address&) const = default;
+    bool operator==(const peer_address&) const = default;
 };
 
 struct heartbeat_request
--- /dev/null
+++ b/src/libruntime/peer_gateway.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "engine_host.hpp"
+#include "peer_handler.hpp"
+#include "peer_network.hpp"
+#include "peer_transport.hpp"
+
+#include <functional>
+
+namespace jujubedrum
+{
+
+/// Joins the peer network and the engine: requests of peers become events, and
+/// the engine's calls go out on the network.
+class peer_gateway : public peer_handler, public peer_transport
+{
+public:
+    /// \param host must outlive the gateway.
+    explicit peer_gateway(engine_host& host);
+
+    /// Sets the network for outgoing calls; call it before the host starts.
+    void connect(peer_network& network) { this->network = &network; }
+
+    void on_request(peer_request request,
+                    std::function<void(peer_reply)> reply) override;
+    void call(peer_address to, peer_request request,
+              std::function<void(peer_reply)> done) override;
+
+private:
+    engine_host& host;
+    peer_network* network = nullptr;
+};
+
+} // namespace jujubedrum
