Make the stand-ins and the runner clean under the sanitizers

The relay thread polls listeners, and the kernel holds a port while a thread polls its closed listener, so refusing a link failed at times with "relay cannot bind" (seen once with the address sanitizer). Only the relay thread changes listeners now.

The thread sanitizer reported races in std::regex and in constants of libcpp-httplib. That library is not instrumented, so the guard of its function-local constants is not seen. The first request is now parsed before any thread starts. A suppression file was ruled out: it would also hide real races in handlers called from the library.

--- a/standins/common/standin_server.cpp
+++ b/standins/common/standin_server.cpp
@@ -1,6 +1,8 @@
 #include "common/standin_server.hpp"
 
 #include "common/growing_pool.hpp"
+#include "common/regex_locale.hpp"
+#include "common/text_stream.hpp"
 
 #include <csignal>
 #include <cstdlib>
@@ -39,6 +41,8 @@
 
 standin_server::standin_server(std::size_t max_connections)
 {
+    prepare_regex_locale();
+    this->prepare_parser();
     this->new_task_queue = [max_connections]
     { return new growing_pool(max_connections); };
     this->set_tcp_nodelay(true);
@@ -147,6 +151,18 @@
     return true;
 }
 
+void standin_server::prepare_parser()
+{
+    for (const char* request :
+         {"GET /?a=b HTTP/1.1\r\n\r\n",
+          "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx"})
+    {
+        text_stream stream(request);
+        bool closed = false;
+        this->process_request(stream, true, closed, nullptr);
+    }
+}
+
 void standin_server::serve(connection_stream& stream)
 {
     bool closed = false;
--- a/standins/common/standin_server.hpp
+++ b/standins/common/standin_server.hpp
@@ -44,6 +44,10 @@
 private:
     bool process_and_close_socket(socket_t socket) override;
     void serve(connection_stream& stream);
+    /// Parses requests before any thread is started: the library is not built
+    /// for the thread sanitizer, which then reports a race on the parser's
+    /// constants, as it does not see the guard of their initialisation.
+    void prepare_parser();
 
     std::mutex mutex;
     std::set<int> connections;
--- a/tests/scenarios/main.cpp
+++ b/tests/scenarios/main.cpp
@@ -1,3 +1,5 @@
+#include "common/standin_server.hpp"
+#include "http_call.hpp"
 #include "scenario.hpp"
 #include "scenario_error.hpp"
 
@@ -6,6 +8,7 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
 #include <getopt.h>
@@ -148,6 +151,19 @@
     return true;
 }
 
+/// Makes one HTTP call before any other thread does: the library is not built
+/// for the thread sanitizer, which then reports races on its constants, as it
+/// does not see the guard of their initialisation.
+void prepare_client()
+{
+    standin_server server(1);
+    const int port = server.bind("127.0.0.1", 0).value();
+    std::thread thread([&server] { server.listen_after_bind(); });
+    http_call({port, "GET", "/?a=b", "", "token"});
+    server.close();
+    thread.join();
+}
+
 bool add_tests()
 {
     add_scripts(options.scripts, ".scenario", run_scenario);
@@ -168,6 +184,7 @@
                      "arguments]\n";
         return 2;
     }
+    jujubedrum::prepare_client();
     // Boost.Test sees its own arguments only.
     std::vector<char*> rest = {argv[0]};
     rest.insert(rest.end(), argv + optind, argv + argc);
--- a/tests/scenarios/relay_hub.cpp
+++ b/tests/scenarios/relay_hub.cpp
@@ -95,19 +95,39 @@
     ::listen(listener, backlog);
     const int port = port_of(listener);
     const std::lock_guard lock(this->mutex);
-    this->links[port] = {listener, target_port, source, mode::open};
+    this->links[port] = {listener, target_port, source, mode::open, mode::open};
     this->wake();
     return port;
 }
 
 void relay_hub::set_mode(int port, mode value)
 {
-    const std::lock_guard lock(this->mutex);
+    std::unique_lock lock(this->mutex);
     link& link = this->links.at(port);
-    if (value == mode::refused && link.state != mode::refused)
+    link.wanted = value;
+    this->wake();
+    this->applied.wait(lock, [&link] { return link.state == link.wanted; });
+}
+
+void relay_hub::apply_modes()
+{
+    for (auto& [port, link] : this->links)
+    {
+        if (link.state != link.wanted)
+        {
+            this->apply(link, port);
+        }
+    }
+    this->applied.notify_all();
+}
+
+void relay_hub::apply(link& link, int port)
+{
+    if (link.wanted == mode::refused)
     {
         // A bound socket that does not listen refuses connections and keeps
-        // the port.
+        // the port. Only this thread may replace it: while a thread polls a
+        // closed listener, the kernel still holds the port.
         ::close(link.listener);
         link.listener = bound_socket("127.0.0.1", port);
         for (pair& pair : this->pairs)
@@ -115,12 +135,11 @@
             pair.broken = pair.broken || pair.port == port;
         }
     }
-    if (value != mode::refused && link.state == mode::refused)
+    else if (link.state == mode::refused)
     {
         ::listen(link.listener, backlog);
     }
-    link.state = value;
-    this->wake();
+    link.state = link.wanted;
 }
 
 void relay_hub::wake() const
@@ -175,6 +194,7 @@
         while (::read(this->wake_read, bytes, sizeof(bytes)) > 0)
         {
         }
+        this->apply_modes();
         std::map<int, short> events;
         for (const pollfd& entry : entries)
         {
--- a/tests/scenarios/relay_hub.hpp
+++ b/tests/scenarios/relay_hub.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <condition_variable>
 #include <list>
 #include <map>
 #include <mutex>
@@ -43,6 +44,7 @@
         int target_port = 0;
         std::string source;
         mode state = mode::open;
+        mode wanted = mode::open;
     };
     struct half
     {
@@ -62,6 +64,8 @@
 
     void run();
     std::vector<pollfd> interests();
+    void apply_modes();
+    void apply(link& link, int port);
     void accept_on(link& link, int port);
     static void transfer(pair& pair, half& half, short events_from,
                          short events_to);
@@ -69,6 +73,7 @@
     void wake() const;
 
     std::mutex mutex;
+    std::condition_variable applied;
     std::map<int, link> links;
     std::list<pair> pairs;
     int wake_read = -1;
