--- a/standins/backend/backend_server_standin.cpp
+++ b/standins/backend/backend_server_standin.cpp
@@ -1,7 +1,6 @@
 #include "backend/backend_server_standin.hpp"
 
 #include <chrono>
-#include <cmath>
 
 namespace jujubedrum
 {
@@ -78,7 +77,7 @@
     {
         return;
     }
-    const auto parsed = task_request::parse(*body);
+    const auto parsed = standin_task::parse(*body);
     if (!parsed.has_value())
     {
         response.set_header("Task-Started", "no");
@@ -88,7 +87,7 @@
     this->run_task(*parsed, response);
 }
 
-void backend_server_standin::run_task(const task_request& request,
+void backend_server_standin::run_task(const standin_task& request,
                                       httplib::Response& response)
 {
     std::unique_lock lock(this->state_mutex);
@@ -137,12 +136,12 @@
     reply_json(response, 200,
                {{"task", request.task},
                 {"result", request.result()},
-                {"run_ms", std::llround(run_ms)}});
+                {"run_ms", run_ms}});
 }
 
 bool backend_server_standin::wait_for_slot(std::unique_lock<std::mutex>& lock,
                                            task_entry& entry,
-                                           const task_request& request)
+                                           const standin_task& request)
 {
     // A task without a lease waits at most an hour, to bound the wait.
     const instant until =
--- a/standins/backend/backend_server_standin.hpp
+++ b/standins/backend/backend_server_standin.hpp
@@ -3,9 +3,9 @@
 #include "backend/server_faults.hpp"
 #include "backend/server_options.hpp"
 #include "backend/slot_queue.hpp"
+#include "backend/standin_task.hpp"
 #include "backend/start_counter.hpp"
 #include "backend/task_plan.hpp"
-#include "backend/task_request.hpp"
 #include "base/time.hpp"
 #include "common/standin_server.hpp"
 
@@ -40,9 +40,9 @@
     };
 
     void run(const httplib::Request& request, httplib::Response& response);
-    void run_task(const task_request& request, httplib::Response& response);
+    void run_task(const standin_task& request, httplib::Response& response);
     bool wait_for_slot(std::unique_lock<std::mutex>& lock, task_entry& entry,
-                       const task_request& request);
+                       const standin_task& request);
     std::string occupy_slot(std::unique_lock<std::mutex>& lock,
                             task_entry& entry, const task_plan& plan);
     void leave(task_entry& entry);
--- a/standins/backend/task_request.cpp
+++ b/standins/backend/standin_task.cpp
@@ -1,4 +1,4 @@
-#include "backend/task_request.hpp"
+#include "backend/standin_task.hpp"
 
 #include "base/hash.hpp"
 
@@ -22,7 +22,7 @@
     return field != body.end() && field->is_string();
 }
 
-void read_behaviour(const nlohmann::json& payload, task_request& request)
+void read_behaviour(const nlohmann::json& payload, standin_task& request)
 {
     if (!payload.is_object() || !has_number(payload, "actual_ms") ||
         !has_number(payload, "use_memory_mb"))
@@ -38,7 +38,7 @@
 
 } // namespace
 
-std::optional<task_request> task_request::parse(const nlohmann::json& body)
+std::optional<standin_task> standin_task::parse(const nlohmann::json& body)
 {
     if (!has_text(body, "task") || !has_text(body, "kind") ||
         !has_number(body, "memory_mb") || !has_number(body, "run_ms") ||
@@ -46,7 +46,7 @@
     {
         return std::nullopt;
     }
-    task_request result;
+    standin_task result;
     result.task = body["task"];
     result.kind = body["kind"];
     result.memory_mb = body.value("memory_mb", 0LL);
@@ -64,7 +64,7 @@
     return result;
 }
 
-std::string task_request::result() const
+std::string standin_task::result() const
 {
     return this->kind + ':' +
            (this->payload.size() <= longest_echo ? this->payload
--- a/standins/backend/task_request.hpp
+++ b/standins/backend/standin_task.hpp
@@ -9,7 +9,7 @@
 {
 
 /// Body of a request to run a task, with the behaviour its payload asks for.
-struct task_request
+struct standin_task
 {
     std::string task;
     std::string kind;
@@ -28,7 +28,7 @@
     long long use_memory_mb = 0;
 
     /// Reads the request, or returns nothing if a field is missing or wrong.
-    static std::optional<task_request> parse(const nlohmann::json& body);
+    static std::optional<standin_task> parse(const nlohmann::json& body);
     /// Returns "<kind>:<payload>", with the SHA-256 digest of the payload
     /// instead if it is longer than 256 bytes.
     [[nodiscard]] std::string result() const;
--- a/standins/backend/task_plan.cpp
+++ b/standins/backend/task_plan.cpp
@@ -10,7 +10,7 @@
 
 } // namespace
 
-task_plan task_plan::make(const task_request& request,
+task_plan task_plan::make(const standin_task& request,
                           const server_options& server,
                           const server_faults& faults)
 {
--- a/standins/backend/task_plan.hpp
+++ b/standins/backend/task_plan.hpp
@@ -2,7 +2,7 @@
 
 #include "backend/server_faults.hpp"
 #include "backend/server_options.hpp"
-#include "backend/task_request.hpp"
+#include "backend/standin_task.hpp"
 #include "base/time.hpp"
 
 #include <string>
@@ -19,7 +19,7 @@
 
     /// Decides it at the start of a task. The run time is the real reference
     /// run time / speed x slow factor, cut by the lease.
-    static task_plan make(const task_request& request,
+    static task_plan make(const standin_task& request,
                           const server_options& server,
                           const server_faults& faults);
 };
--- a/tests/scenarios/testbed.cpp
+++ b/tests/scenarios/testbed.cpp
@@ -1,18 +1,16 @@
 #include "testbed.hpp"
 
 #include "base/hash.hpp"
-#include "base/hex.hpp"
+#include "config/key_pair.hpp"
 #include "scenario_error.hpp"
 #include "waiting.hpp"
 
 #include <algorithm>
-#include <array>
 #include <csignal>
 #include <fstream>
 #include <sstream>
 
 #include <netinet/in.h>
-#include <openssl/evp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -373,6 +371,8 @@
         "publish",
         "--platform",
         "127.0.0.1:" + std::to_string(this->port("platform")),
+        "--admin-public-key",
+        this->public_key("admin"),
         "--section",
         section,
         "--file",
@@ -418,17 +418,14 @@
     {
         return known->second;
     }
-    EVP_PKEY* const key = EVP_PKEY_Q_keygen(nullptr, nullptr, "ED25519");
-    std::array<unsigned char, 32> secret{};
-    std::array<unsigned char, 32> shared{};
-    std::size_t size = secret.size();
-    EVP_PKEY_get_raw_private_key(key, secret.data(), &size);
-    size = shared.size();
-    EVP_PKEY_get_raw_public_key(key, shared.data(), &size);
-    EVP_PKEY_free(key);
-    write_file(this->work / (name + ".key"),
-               to_hex(secret.data(), secret.size()) + "\n");
-    return this->public_keys[name] = to_hex(shared.data(), shared.size());
+    config_reason why;
+    const auto pair = key_pair::generate(why);
+    if (!pair.has_value())
+    {
+        throw scenario_error(why.message());
+    }
+    write_file(this->work / (name + ".key"), pair->private_key() + "\n");
+    return this->public_keys[name] = pair->public_key();
 }
 
 int testbed::port(const std::string& name) const
--- a/tests/unit/standin_backend_test.cpp
+++ b/tests/unit/standin_backend_test.cpp
@@ -13,7 +13,7 @@
 {
     server_options server;
     server.speed = 2.0;
-    const auto request = task_request::parse({{"task", "j/0"},
+    const auto request = standin_task::parse({{"task", "j/0"},
                                               {"kind", "k"},
                                               {"payload", payload},
                                               {"memory_mb", 100},
