--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -263,9 +263,8 @@
 
 void scenario::publish(const words& step)
 {
-    const int status =
-        this->bed->publish(word(step, 1), this->folder / word(step, 2),
-                           word(step, 3), word(step, 4));
+    const int status = this->bed->publish(
+        word(step, 1), this->file(word(step, 2)), word(step, 3), word(step, 4));
     const bool refused = step.size() > 5 && step[5] == "refused";
     require((status != 0) == refused,
             "jujubedrumctl exited with status " + std::to_string(status));
@@ -291,7 +290,7 @@
         }
         else
         {
-            std::ifstream input(this->folder / source);
+            std::ifstream input(this->file(source));
             job = nlohmann::json::parse(input);
         }
         const std::string token =
@@ -408,6 +407,7 @@
     const std::string& name = word(step, 2);
     const std::map<std::string, std::string> paths = {
         {"status", "/v1/admin/status"},
+        {"dump", "/v1/admin/dump"},
         {"starts", "/control/starts?summary=1"},
         {"counts", "/control/counts"}};
     const auto path = paths.find(what);
@@ -604,6 +604,13 @@
     }
 }
 
+std::filesystem::path scenario::file(const std::string& name) const
+{
+    const auto own = this->folder / name;
+    return std::filesystem::exists(own) ? own
+                                        : this->folder.parent_path() / name;
+}
+
 pending_call& scenario::call(const std::string& name)
 {
     const auto found = this->calls.find(name);
--- a/tests/scenarios/scenario.hpp
+++ b/tests/scenarios/scenario.hpp
@@ -21,7 +21,8 @@
 public:
     /// \param bin folder of the programs.
     /// \param work folder for this scenario's files.
-    /// \param script the script; files it names are relative to its folder.
+    /// \param script the script; files it names are relative to its folder
+    /// or the one above.
     scenario(const std::filesystem::path& bin,
              const std::filesystem::path& work,
              const std::filesystem::path& script);
@@ -82,6 +83,7 @@
 
     void open(const std::string& name, const std::string& target,
               const http_request& request);
+    [[nodiscard]] std::filesystem::path file(const std::string& name) const;
     pending_call& call(const std::string& name);
     http_reply final_reply(pending_call& call, const std::string& target);
     std::string issue_id(const std::string& target, const std::string& token);
