--- a/src/libjujubedrum/engine/dispatch_engine.cpp
+++ b/src/libjujubedrum/engine/dispatch_engine.cpp
@@ -15,6 +15,10 @@
 /// Time a new instance gives its peers to report a newer configuration.
 constexpr microseconds peer_grace = milliseconds(1500);
 
+/// Time a peer may take to answer a question about a job. The caller's own
+/// wait, at most 60 s, ends it earlier.
+constexpr microseconds collect_wait = seconds(60);
+
 claim_settings claim_settings_of(const tunables& values)
 {
     claim_settings settings;
@@ -95,7 +99,7 @@
              initial.tunables.id_lifetime)
     , admitter(job_options().max_queued_tasks)
     , jobs({*this->policy, this->pool, this->stats, this->table, this->budget,
-            this->quotas, this->random, this->out, sink},
+            this->quotas, this->admitter, this->random, this->out, sink},
            job_options_of(initial))
     , config(initial.admin_public_key, initial.tunables.log_retention,
              this->random, this->out)
@@ -170,8 +174,9 @@
         claim->second.waiters.push_back(next.token);
         return;
     }
-    if (!known && this->pass_on(next.token, next.id, next.hops,
-                                collect_request{next.id, next.team, {}}))
+    if (!known &&
+        this->pass_on(next.token, next.id, next.hops,
+                      collect_request{next.id, next.team, collect_wait}))
     {
         return;
     }
@@ -717,7 +722,13 @@
     }
     const auto left =
         std::chrono::duration_cast<milliseconds>(deadline - this->now);
-    switch (this->admitter.check(job, left, this->capacity()))
+    const capacity_view view = this->capacity();
+    admission_verdict verdict = this->admitter.check(job, left, view);
+    while (verdict == admission_verdict::queue_full && this->shed_for(job))
+    {
+        verdict = this->admitter.check(job, left, view);
+    }
+    switch (verdict)
     {
     case admission_verdict::admitted:
         return std::nullopt;
@@ -737,6 +748,13 @@
     return std::nullopt;
 }
 
+bool dispatch_engine::shed_for(const submission& job)
+{
+    const auto team =
+        this->admitter.team_to_shed(job.team(), job.tasks().size());
+    return team && this->jobs.shed(*team, this->now);
+}
+
 void dispatch_engine::end_unsent(const submission& job,
                                  const std::vector<request_token>& waiters,
                                  outcome result)
@@ -819,8 +837,10 @@
             context.id = verdict.id;
             context.peer = verdict.instance;
             this->metrics.on_message(message_cause::forward, 2);
-            this->call(*peer, collect_request{verdict.id, job.job.team(), {}},
-                       std::move(context));
+            this->call(
+                *peer,
+                collect_request{verdict.id, job.job.team(), collect_wait},
+                std::move(context));
         }
         else
         {
@@ -852,7 +872,7 @@
         return;
     }
     const auto planned =
-        this->grants.plan_request(this->jobs.queued(), this->now);
+        this->grants.plan_request(this->jobs.late(), this->now);
     if (!planned)
     {
         return;
