--- a/tests/scenarios/main.cpp
+++ b/tests/scenarios/main.cpp
@@ -31,10 +31,15 @@
 
 runner_options options;
 
-std::filesystem::path work_folder(const std::string& name)
+std::filesystem::path work_root()
 {
     return std::filesystem::temp_directory_path() /
-           ("jujubedrum-scenario-" + std::to_string(::getpid())) / name;
+           ("jujubedrum-scenario-" + std::to_string(::getpid()));
+}
+
+std::filesystem::path work_folder(const std::string& name)
+{
+    return work_root() / name;
 }
 
 bool run_script(scenario& run)
@@ -189,6 +194,10 @@
     std::vector<char*> rest = {argv[0]};
     rest.insert(rest.end(), argv + optind, argv + argc);
     rest.push_back(nullptr);
-    return boost::unit_test::unit_test_main(
+    const int result = boost::unit_test::unit_test_main(
         jujubedrum::add_tests, static_cast<int>(rest.size()) - 1, rest.data());
+    // Folders of failed scenarios stay for examination.
+    std::error_code ignored;
+    std::filesystem::remove(jujubedrum::work_root(), ignored);
+    return result;
 }
