--- a/tests/scenarios/main.cpp
+++ b/tests/scenarios/main.cpp
@@ -1,3 +1,5 @@
+#include "common/standin_server.hpp"
+#include "http_call.hpp"
 #include "scenario.hpp"
 #include "scenario_error.hpp"
 
@@ -6,6 +8,7 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
 #include <getopt.h>
@@ -28,10 +31,15 @@
 
 runner_options options;
 
-std::filesystem::path work_folder(const std::string& name)
+std::filesystem::path work_root()
 {
     return std::filesystem::temp_directory_path() /
-           ("jujubedrum-scenario-" + std::to_string(::getpid())) / name;
+           ("jujubedrum-scenario-" + std::to_string(::getpid()));
+}
+
+std::filesystem::path work_folder(const std::string& name)
+{
+    return work_root() / name;
 }
 
 bool run_script(scenario& run)
@@ -148,6 +156,19 @@
     return true;
 }
 
+/// Makes one HTTP call before any other thread does: the library is not built
+/// for the thread sanitizer, which then reports races on its constants, as it
+/// does not see the guard of their initialisation.
+void prepare_client()
+{
+    standin_server server(1);
+    const int port = server.bind("127.0.0.1", 0).value();
+    std::thread thread([&server] { server.listen_after_bind(); });
+    http_call({port, "GET", "/?a=b", "", "token"});
+    server.close();
+    thread.join();
+}
+
 bool add_tests()
 {
     add_scripts(options.scripts, ".scenario", run_scenario);
@@ -168,10 +189,15 @@
                      "arguments]\n";
         return 2;
     }
+    jujubedrum::prepare_client();
     // Boost.Test sees its own arguments only.
     std::vector<char*> rest = {argv[0]};
     rest.insert(rest.end(), argv + optind, argv + argc);
     rest.push_back(nullptr);
-    return boost::unit_test::unit_test_main(
+    const int result = boost::unit_test::unit_test_main(
         jujubedrum::add_tests, static_cast<int>(rest.size()) - 1, rest.data());
+    // Folders of failed scenarios stay for examination.
+    std::error_code ignored;
+    std::filesystem::remove(jujubedrum::work_root(), ignored);
+    return result;
 }
