Pass on learned speeds with grants; tune lateness and linger

Cause: at p99.9 most jobs had a task on a borrowed slow server that the borrower had hardly used and took for average. Change: a grant carries the lender's estimate of each server relative to its fastest one. Slots of ejected servers are not lent. wait_share 0.9, late_ratio 2, linger 4 s.

--- a/src/libjujubedrum/placement/grant_book.cpp
+++ b/src/libjujubedrum/placement/grant_book.cpp
@@ -18,8 +18,8 @@
 
 } // namespace
 
-grant_book::grant_book(std::string self, slot_pool& pool,
-                       const server_stats& stats, grant_options options)
+grant_book::grant_book(std::string self, slot_pool& pool, server_stats& stats,
+                       grant_options options)
     : self(std::move(self))
     , pool(pool)
     , stats(stats)
@@ -124,8 +124,10 @@
     }
     this->open.reset();
     std::map<std::string, unsigned> slots;
+    const double reference = this->fastest();
     for (const slot_count& slot : reply.grant.slots)
     {
+        this->stats.suggest(slot.server, slot.slowness * reference);
         // Slots of a server not yet on this instance's list stay unused; the
         // next report returns them.
         if (slot.count > 0 && this->pool.borrow(slot.server, slot.count))
@@ -300,12 +302,40 @@
     return free > reserve ? free - reserve : 0;
 }
 
-std::vector<slot_count> grant_book::lend_slots(unsigned count)
+double grant_book::fastest() const
+{
+    double fastest = 0.0;
+    for (const auto& [name, entry] : this->pool.servers())
+    {
+        if (this->stats.is_learned(name))
+        {
+            const double slowness = this->stats.slowness(name);
+            fastest = fastest == 0.0 ? slowness : std::min(fastest, slowness);
+        }
+    }
+    return fastest == 0.0 ? 1.0 : fastest;
+}
+
+void grant_book::add_hints(std::vector<slot_count>& slots) const
+{
+    const double reference = this->fastest();
+    for (slot_count& slot : slots)
+    {
+        if (this->stats.is_learned(slot.server))
+        {
+            slot.slowness = this->stats.slowness(slot.server) / reference;
+        }
+    }
+}
+
+std::vector<slot_count> grant_book::lend_slots(unsigned count, instant now)
 {
     std::vector<std::pair<double, const pooled_server*>> ranked;
     for (const auto& [name, entry] : this->pool.servers())
     {
-        const bool lendable = entry.free() > 0 && entry.owned > entry.lent;
+        const bool lendable =
+            entry.free() > 0 && entry.owned > entry.lent &&
+            this->stats.admission(name, now) == admission_state::open;
         if (!lendable)
         {
             continue;
@@ -367,7 +397,7 @@
     {
         peer->second.last_sequence = request.sequence;
         const auto slots =
-            this->lend_slots(std::min(request.wanted, this->spare()));
+            this->lend_slots(std::min(request.wanted, this->spare()), now);
         for (const slot_count& slot : slots)
         {
             grants[request.sequence][slot.server] += slot.count;
@@ -381,6 +411,7 @@
     {
         this->lent.erase(borrower);
     }
+    this->add_hints(reply.grant.slots);
     reply.report = this->report_for(borrower);
     return reply;
 }
--- a/src/libjujubedrum/placement/grant_book.hpp
+++ b/src/libjujubedrum/placement/grant_book.hpp
@@ -32,7 +32,7 @@
 struct grant_options
 {
     /// Time after which borrowed slots that stayed idle are returned.
-    microseconds linger = seconds(2);
+    microseconds linger = seconds(4);
     /// Time to wait for the reply to a request.
     microseconds reply_timeout = seconds(1);
     /// Time after a refusal before the same peer is asked again; doubles with
@@ -74,7 +74,7 @@
 {
 public:
     /// The pool and stats outlive the book.
-    grant_book(std::string self, slot_pool& pool, const server_stats& stats,
+    grant_book(std::string self, slot_pool& pool, server_stats& stats,
                grant_options options = {});
 
     /// Replaces the peers that may be asked: live entry instances of the
@@ -148,7 +148,11 @@
     [[nodiscard]] const std::string* best_lender(unsigned needed,
                                                  instant now) const;
     [[nodiscard]] unsigned spare() const;
-    [[nodiscard]] std::vector<slot_count> lend_slots(unsigned count);
+    [[nodiscard]] std::vector<slot_count> lend_slots(unsigned count,
+                                                     instant now);
+    /// Returns the slowness of the fastest server known well; 1 if none is.
+    [[nodiscard]] double fastest() const;
+    void add_hints(std::vector<slot_count>& slots) const;
     [[nodiscard]] std::vector<slot_count>
     remaining(const std::map<std::string, unsigned>& grant) const;
     void take_back(std::map<std::string, unsigned>& grant,
@@ -159,7 +163,7 @@
 
     std::string self;
     slot_pool& pool;
-    const server_stats& stats;
+    server_stats& stats;
     grant_options options;
     std::map<std::string, peer_record, std::less<>> peers;
     std::map<std::string, grant_map, std::less<>> lent;
--- a/src/libjujubedrum/placement/grant_messages.hpp
+++ b/src/libjujubedrum/placement/grant_messages.hpp
@@ -12,6 +12,9 @@
 {
     std::string server;
     unsigned count = 0;
+    /// Run time on the server relative to that on the lender's fastest one, so
+    /// that a borrower need not learn it anew; 0 if unknown. Only in grants.
+    double slowness = 0.0;
 
     bool operator==(const slot_count&) const = default;
 };
--- a/src/libjujubedrum/placement/placement_tuning.hpp
+++ b/src/libjujubedrum/placement/placement_tuning.hpp
@@ -19,10 +19,10 @@
     /// A task waits for a busy slot if it would end there within this share of
     /// the time on the best free slot. Below 1, because estimates of when a
     /// slot becomes free are uncertain.
-    double wait_share = 0.85;
+    double wait_share = 0.9;
     /// A waiting task is late, and worth borrowing slots for, if it is expected
     /// to end after this multiple of the ideal response time of its job.
-    double late_ratio = 1.8;
+    double late_ratio = 2.0;
 
     /// Returns the parameters for an objective.
     static placement_tuning for_objective(placement_objective objective)
--- a/src/libjujubedrum/placement/server_stats.cpp
+++ b/src/libjujubedrum/placement/server_stats.cpp
@@ -17,6 +17,10 @@
 /// slowest of equally fast servers would not deter any task.
 constexpr double failure_slowness = 4.0;
 
+/// Observations after which the slowness of a server is known: within-kind
+/// deviations of 30 % then average to about 10 %.
+constexpr std::size_t learned_observations = 10;
+
 /// Standard deviations that 99 % of a normal distribution stay below.
 constexpr double p99_deviations = 2.33;
 
@@ -209,6 +213,25 @@
     }
 }
 
+void server_stats::suggest(std::string_view server, double slowness)
+{
+    const auto at = this->servers.find(server);
+    if (at == this->servers.end() || slowness <= 0.0 ||
+        this->is_learned(server))
+    {
+        return;
+    }
+    at->second.log_slowness = std::log(slowness);
+    at->second.observations = learned_observations;
+}
+
+bool server_stats::is_learned(std::string_view server) const
+{
+    const auto at = this->servers.find(server);
+    return at != this->servers.end() &&
+           at->second.observations >= learned_observations;
+}
+
 void server_stats::on_probe_ended(std::string_view server)
 {
     const auto at = this->servers.find(server);
--- a/src/libjujubedrum/placement/server_stats.hpp
+++ b/src/libjujubedrum/placement/server_stats.hpp
@@ -64,6 +64,8 @@
     void on_failed(std::string_view server, instant now);
     /// Records that a probe was started; no second one starts until it ends.
     void on_probe_started(std::string_view server);
+    /// Sets the slowness of a server that this instance hardly used yet.
+    void suggest(std::string_view server, double slowness);
     /// Allows another probe if the last one ended without a verdict.
     void on_probe_ended(std::string_view server);
 
@@ -79,6 +81,8 @@
     /// Returns the run time relative to the reference: 2 is half as fast.
     /// Failures count as the slowest run time.
     [[nodiscard]] double slowness(std::string_view server) const;
+    /// Returns whether enough tasks ran on a server to know its slowness.
+    [[nodiscard]] bool is_learned(std::string_view server) const;
     /// Returns the learned run time of a kind at slowness 1.
     [[nodiscard]] microseconds reference(std::string_view kind,
                                          microseconds declared) const;
