--- a/src/jujubedrum-load/latency_summary.cpp
+++ b/src/jujubedrum-load/latency_summary.cpp
@@ -1,6 +1,7 @@
 #include "latency_summary.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace jujubedrum
@@ -11,9 +12,8 @@
 
 double percentile(const std::vector<double>& sorted, double share)
 {
-    const auto rank = static_cast<std::size_t>(
-        share * static_cast<double>(sorted.size() - 1) + 0.5);
-    return sorted[rank];
+    const double rank = share * static_cast<double>(sorted.size() - 1);
+    return sorted[static_cast<std::size_t>(std::lround(rank))];
 }
 
 } // namespace
--- a/src/libjujubedrum/placement/grant_book.cpp
+++ b/src/libjujubedrum/placement/grant_book.cpp
@@ -233,6 +233,7 @@
 grant_book::remaining(const std::map<std::string, unsigned>& grant) const
 {
     std::vector<slot_count> slots;
+    slots.reserve(grant.size());
     for (const auto& [server, count] : grant)
     {
         slots.push_back({server, count});
--- a/src/libjujubedrum/placement/placement_tuning.hpp
+++ b/src/libjujubedrum/placement/placement_tuning.hpp
@@ -30,8 +30,9 @@
         placement_tuning tuning;
         if (objective == placement_objective::messages)
         {
-            // 2.5 costs a third of the messages of 1.8 and up to 20 % at p99.9.
-            tuning.late_ratio = 2.5;
+            // On the order desk 2.3 costs a quarter fewer messages than 2.0 and
+            // stays within 1.15 of perfect knowledge.
+            tuning.late_ratio = 2.3;
         }
         return tuning;
     }
