Weigh overdue tasks more in the speed estimate

Cause: when other servers start to straggle every 30 s, one overdue task moved the estimate by only a fifth, so tasks kept going to the new stragglers. Change: an overdue task moves it by 0.7 of the difference.

Ruled out: hedging earlier, which costs duplicates in calm.

--- a/src/libjujubedrum/placement/server_stats.cpp
+++ b/src/libjujubedrum/placement/server_stats.cpp
@@ -131,7 +131,7 @@
                             at->second.log_slowness;
     if (residual > 0.0)
     {
-        observe(at->second, this->options.surprise_weight,
+        observe(at->second, this->options.overdue_weight,
                 std::min(residual, residual_limit));
     }
 }
--- a/src/libjujubedrum/placement/server_stats.hpp
+++ b/src/libjujubedrum/placement/server_stats.hpp
@@ -29,6 +29,9 @@
     double speed_weight = 0.03;
     /// The same for a run time more than 3 standard deviations off.
     double surprise_weight = 0.2;
+    /// The same for a task that still runs after the bound of its run time:
+    /// its final run time will be longer still.
+    double overdue_weight = 0.7;
     /// Weight of one observation in the reference of a task kind.
     double reference_weight = 0.02;
     /// Weight of one outcome in the failure rate of a server.
