--- a/src/libjujubedrum/placement/owned_slots.cpp
+++ b/src/libjujubedrum/placement/owned_slots.cpp
@@ -59,17 +59,19 @@
     std::map<std::string_view, const pooled_server*> busy;
     for (const auto& [name, server] : this->pool.servers())
     {
-        const admission_state state = this->stats.admission(name, now);
-        if (!server.usable || state == admission_state::ejected)
+        // Most servers of a large region belong to other instances.
+        if (server.owned + server.borrowed == 0)
         {
             continue;
         }
-        // Lent slots count too: with every slot lent, tasks are late all the
-        // same.
-        if (server.owned + server.borrowed > 0)
+        const admission_state state = this->stats.admission(name, now);
+        if (!server.usable || state == admission_state::ejected)
         {
-            this->fastest = std::min(this->fastest, this->stats.slowness(name));
+            continue;
         }
+        // Servers whose slots are all lent count too: tasks can be late even
+        // while no slot is left.
+        this->fastest = std::min(this->fastest, this->stats.slowness(name));
         const bool probe = state == admission_state::probe;
         if (server.free() > 0)
         {
