--- a/src/libjujubedrum/placement/placement_tuning.hpp
+++ b/src/libjujubedrum/placement/placement_tuning.hpp
@@ -19,10 +19,10 @@
     /// A task waits for a busy slot if it would end there within this share of
     /// the time on the best free slot. Below 1, because estimates of when a
     /// slot becomes free are uncertain.
-    double wait_share = 0.85;
+    double wait_share = 0.9;
     /// A waiting task is late, and worth borrowing slots for, if it is expected
     /// to end after this multiple of the ideal response time of its job.
-    double late_ratio = 1.8;
+    double late_ratio = 2.0;
 
     /// Returns the parameters for an objective.
     static placement_tuning for_objective(placement_objective objective)
@@ -30,8 +30,9 @@
         placement_tuning tuning;
         if (objective == placement_objective::messages)
         {
-            // 2.5 costs a third of the messages of 1.8 and up to 20 % at p99.9.
-            tuning.late_ratio = 2.5;
+            // On the order desk 2.3 costs a quarter fewer messages than 2.0 and
+            // stays within 1.15 of perfect knowledge.
+            tuning.late_ratio = 2.3;
         }
         return tuning;
     }
--- a/src/libjujubedrum/placement/server_stats.hpp
+++ b/src/libjujubedrum/placement/server_stats.hpp
@@ -29,6 +29,9 @@
     double speed_weight = 0.03;
     /// The same for a run time more than 3 standard deviations off.
     double surprise_weight = 0.2;
+    /// The same for a task that still runs after the bound of its run time:
+    /// its final run time will be longer still.
+    double overdue_weight = 0.7;
     /// Weight of one observation in the reference of a task kind.
     double reference_weight = 0.02;
     /// Weight of one outcome in the failure rate of a server.
@@ -64,6 +67,8 @@
     void on_failed(std::string_view server, instant now);
     /// Records that a probe was started; no second one starts until it ends.
     void on_probe_started(std::string_view server);
+    /// Sets the slowness of a server that this instance hardly used yet.
+    void suggest(std::string_view server, double slowness);
     /// Allows another probe if the last one ended without a verdict.
     void on_probe_ended(std::string_view server);
 
@@ -79,6 +84,8 @@
     /// Returns the run time relative to the reference: 2 is half as fast.
     /// Failures count as the slowest run time.
     [[nodiscard]] double slowness(std::string_view server) const;
+    /// Returns whether enough tasks ran on a server to know its slowness.
+    [[nodiscard]] bool is_learned(std::string_view server) const;
     /// Returns the learned run time of a kind at slowness 1.
     [[nodiscard]] microseconds reference(std::string_view kind,
                                          microseconds declared) const;
