Test the engine under failure on a bed with a virtual clock

Cause: the engine's decisions under failure had no test of their own.

The check notices broken rules: an attempt that may have started reported as not started fails (a non-repeatable task started twice), a restart under the old incarnation.

Ruled out: checking not_run of a caller's id strictly when the log is down and several copies were submitted. The design answers not_run there.

--- /dev/null
+++ b/tests/unit/engine_fixture.hpp
@@ -0,0 +1,250 @@
+#pragma once
+
+#include "base/random_source.hpp"
+#include "config/config_edit.hpp"
+#include "config/key_pair.hpp"
+#include "engine/dispatch_engine.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace jujubedrum::tests
+{
+
+/// Ignores all measurements.
+class null_metrics : public metrics_sink
+{
+public:
+    void on_task_started() override {}
+    void on_message(message_cause /*cause*/, std::uint64_t /*count*/) override
+    {
+    }
+    void on_job_finished(std::string_view /*outcome*/,
+                         double /*response_over_ideal*/) override
+    {
+    }
+};
+
+/// Which rule the bed breaks to show that its checks notice.
+enum class broken_rule
+{
+    none,
+    /// Reports an attempt that may have started as not started.
+    unknown_as_not_started,
+    /// Restarts a process under its old incarnation.
+    same_incarnation,
+};
+
+/// One request of a caller.
+struct bed_request
+{
+    std::string id;
+    std::size_t node = 0;
+    int replies = 0;
+    /// The process that was asked has died.
+    bool lost = false;
+    std::optional<api_reply> answer;
+};
+
+/// What the bed knows about a job id.
+struct bed_job
+{
+    std::string body;
+    std::size_t tasks = 0;
+    bool repeatable = false;
+    /// Copies submitted by callers.
+    int copies = 0;
+    int starts = 0;
+    /// Refused for good: nothing may start, then or later.
+    bool refused = false;
+    /// Refused because the log was down: only another copy may start.
+    bool unclaimed = false;
+    /// Incarnations that sent a task of the job.
+    std::set<std::uint64_t> runners;
+};
+
+/// A backend server; the flags are its faults.
+struct bed_server
+{
+    std::string name;
+    std::string domain = "d1";
+    std::uint32_t slots = 4;
+    double slow = 1.0;
+    bool fail = false;
+    bool refuse = false;
+    bool draining = false;
+    bool drop_reply = false;
+    bool listed = true;
+    microseconds late{0};
+    /// Negative: reached from every group.
+    int group = 0;
+    int received = 0;
+};
+
+/// An entry instance: the engine is null while the process is dead.
+struct bed_node
+{
+    instance_info self;
+    std::uint64_t incarnation = 0;
+    std::unique_ptr<dispatch_engine> engine;
+    bool frozen = false;
+    std::vector<event> held;
+    int group = 0;
+    std::uint64_t config_next = 0;
+    std::uint64_t revision = 0;
+    std::map<std::string, int> busy;
+    std::map<attempt_id, std::string> attempts;
+};
+
+/// Engines with a fake log, list, backend servers and peer network in one
+/// process, driven by one heap of events on a virtual clock.
+class engine_bed
+{
+public:
+    explicit engine_bed(std::uint64_t seed, std::size_t nodes = 3,
+                        std::size_t servers = 4);
+
+    /// Faults of the log, the list and the peer network.
+    struct
+    {
+        bool log_down = false;
+        bool log_slow = false;
+        bool lose_append_replies = false;
+        bool list_frozen = false;
+        microseconds list_lag{0};
+        double drop_request = 0;
+        double drop_reply = 0;
+        microseconds peer_delay = milliseconds(1);
+    } faults;
+    broken_rule broken = broken_rule::none;
+    struct tunables tunables;
+
+    /// Advances the clock, handling the events that fall due.
+    void run(microseconds span);
+    /// Advances until the request is answered, at most by the span.
+    const bed_request& wait(request_token token,
+                            microseconds span = seconds(30));
+
+    /// Replaces the process, under a new name if one is given.
+    void restart(std::size_t node, const std::string& name = "");
+    void kill(std::size_t node);
+    void freeze(std::size_t node);
+    void thaw(std::size_t node);
+    void heal();
+    /// Publishes the list as it is now.
+    void publish();
+    /// Appends a signed edit of the team section `t`.
+    void edit(const std::string& body);
+
+    /// Returns the ids that the node issues.
+    std::string new_id(std::size_t node);
+    /// Returns an id chosen by the caller.
+    std::string chosen_id();
+    /// Returns a job body with tasks of the given run time.
+    std::string body(const std::string& id, std::size_t tasks,
+                     bool repeatable = false, int run_ms = 50,
+                     int deadline_ms = 5000, const std::string& payload = "1");
+    request_token submit(std::size_t node, const std::string& body);
+    request_token collect(std::size_t node, const std::string& id);
+    request_token cancel(std::size_t node, const std::string& id);
+    void send(std::size_t node, event next);
+
+    [[nodiscard]] const bed_request& at(request_token token) const
+    {
+        return this->requests.at(token);
+    }
+    /// Returns the outcome's name, the error's code, or "none".
+    [[nodiscard]] std::string result(request_token token) const;
+    [[nodiscard]] int starts(const std::string& id) const;
+    [[nodiscard]] wall_time wall() const
+    {
+        return std::chrono::duration_cast<milliseconds>(this->now) +
+               wall_time(1'000'000'000);
+    }
+    /// Compares the slots in use in the engines with the open sends.
+    void check_slots();
+
+    random_source random;
+    instant now{0};
+    std::vector<bed_node> nodes;
+    std::vector<bed_server> servers;
+    std::map<request_token, bed_request> requests;
+    std::map<std::string, bed_job> jobs;
+    std::map<std::string, int> task_starts;
+    std::map<std::string, int> task_stops;
+    std::vector<std::string> violations;
+    std::size_t steps = 0;
+
+private:
+    struct timer
+    {
+        instant at{0};
+        std::uint64_t number = 0;
+        std::function<void()> run;
+        bool operator<(const timer& other) const
+        {
+            return std::tie(other.at, other.number) <
+                   std::tie(this->at, this->number);
+        }
+    };
+    struct stream
+    {
+        std::uint64_t first = 0;
+        std::deque<std::pair<instant, std::string>> records;
+    };
+    struct peer_call
+    {
+        std::size_t from = 0;
+        std::uint64_t incarnation = 0;
+        call_id call = 0;
+        std::size_t to = 0;
+        bool answered = false;
+    };
+
+    void after(microseconds delay, std::function<void()> run);
+    void post(std::size_t node, std::uint64_t incarnation, event next);
+    void handle(std::size_t node, event next);
+    void tick(std::size_t node, std::uint64_t incarnation, int round);
+    void poll_list(std::size_t node);
+    void poll_config(std::size_t node);
+    void violate(const std::string& text);
+    std::uint64_t append(const std::string& name, const std::string& record);
+    records_event read(const std::string& name, std::uint64_t from);
+    void on_start(const std::string& task);
+    void check_reply(const bed_request& request);
+
+    void perform(std::size_t node, reply_action&& next);
+    void perform(std::size_t node, ids_action&& next);
+    void perform(std::size_t node, send_task_action&& next);
+    void perform(std::size_t node, stop_task_action&& next);
+    void perform(std::size_t node, call_peer_action&& next);
+    void perform(std::size_t node, reply_peer_action&& next);
+    void perform(std::size_t node, append_action&& next);
+    void perform(std::size_t node, read_action&& next);
+    void perform(std::size_t /*node*/, document_action&& /*next*/) {}
+    void answer_peer(request_token token, peer_reply reply);
+    void fail_call(request_token token, peer_delivery delivery);
+
+    null_metrics metrics;
+    config_reason why;
+    key_pair admin;
+    std::priority_queue<timer> timers;
+    std::uint64_t last_timer = 0;
+    request_token last_token = 0;
+    std::uint64_t last_id = 0;
+    std::map<std::string, stream> streams;
+    std::map<request_token, peer_call> calls;
+    std::map<request_token, id_block> blocks;
+    std::vector<std::pair<instant, instance_page>> pages;
+    std::uint64_t base = 0;
+};
+
+} // namespace jujubedrum::tests
