Check deadlines before any start after a pause

Cause: after a freeze, the first event handled may be a task's reply or a peer's request instead of a tick, and giving the freed slot to a queued task did not look at the job's deadline. A submission that waited in a socket's buffer during the freeze counted its remaining time from its late receipt.

Change: pump() ends overdue jobs first. An engine that handled nothing for 250 ms takes submissions of the next 500 ms to be as old as the pause.

Ruled out: a wall clock time in the forwarded request; instances' clocks may differ by more than a deadline. A submission that is fresh after all is refused as not_run at worst, which a retry under a new id mends.

--- a/src/libjujubedrum/engine/dispatch_engine.cpp
+++ b/src/libjujubedrum/engine/dispatch_engine.cpp
@@ -15,6 +15,14 @@
 /// Time a new instance gives its peers to report a newer configuration.
 constexpr microseconds peer_grace = milliseconds(1500);
 
+/// Time without an event, ticks included, from which the process counts as
+/// paused; a tick comes every 10 ms.
+constexpr microseconds shortest_pause = milliseconds(250);
+
+/// Time after a pause in which requests may still come out of the sockets'
+/// buffers. Their age is unknown; they are taken to be as old as the pause.
+constexpr microseconds pause_echo = milliseconds(500);
+
 claim_settings claim_settings_of(const tunables& values)
 {
     claim_settings settings;
@@ -110,6 +118,7 @@
 std::vector<action> dispatch_engine::handle(event next, instant at,
                                             wall_time wall_now)
 {
+    this->note_pause(at);
     this->now = at;
     this->wall = wall_now;
     if (this->started_at < instant(0))
@@ -125,6 +134,21 @@
     return this->out.take();
 }
 
+void dispatch_engine::note_pause(instant at)
+{
+    if (this->started_at >= instant(0) && at - this->now >= shortest_pause)
+    {
+        this->pause = at - this->now;
+        this->resumed_at = at;
+    }
+}
+
+microseconds dispatch_engine::without_pause(microseconds remaining) const
+{
+    return this->now - this->resumed_at < pause_echo ? remaining - this->pause
+                                                     : remaining;
+}
+
 bool dispatch_engine::idle() const
 {
     return this->jobs.running() == 0 && this->jobs.in_flight() == 0 &&
@@ -133,6 +157,7 @@
 
 void dispatch_engine::on(submit_event&& next)
 {
+    next.remaining = this->without_pause(next.remaining);
     if (next.job.id().empty())
     {
         next.job =
--- a/src/libjujubedrum/engine/dispatch_engine.hpp
+++ b/src/libjujubedrum/engine/dispatch_engine.hpp
@@ -177,6 +177,8 @@
     void apply_document();
     void fetch_newer_document();
     void update_ready();
+    void note_pause(instant at);
+    [[nodiscard]] microseconds without_pause(microseconds remaining) const;
     [[nodiscard]] capacity_view capacity() const;
     [[nodiscard]] peer_phase phase() const;
 
@@ -203,6 +205,9 @@
     instant now{0};
     wall_time wall{0};
     instant started_at{-1};
+    /// Length and end of the latest time in which nothing was handled.
+    microseconds pause{0};
+    instant resumed_at{0};
     std::uint64_t applied_revision = 0;
     bool fetching_config = false;
     bool is_ready = false;
--- a/src/libjujubedrum/engine/job_controller.cpp
+++ b/src/libjujubedrum/engine/job_controller.cpp
@@ -109,6 +109,8 @@
 
 void job_controller::pump(instant now)
 {
+    // The first event after a pause is not always a tick.
+    this->end_overdue_jobs(now);
     std::set<std::string> blocked;
     const auto eligible = [this, &blocked](const std::string& team)
     {
