Charge failures to the task where it fails everywhere

Cause: every failed task counted against its server, so one bad job ejected sound servers.

Change: kind_results remembers the last results of a team's kind of task on two servers. A failure is charged to the server unless the last result of the kind on another server was a failure too. An unused value in on_answered is dropped.

Ruled out: at most one charge a job and server; many small bad jobs eject servers all the same.

--- a/src/libjujubedrum/engine/job_controller.cpp
+++ b/src/libjujubedrum/engine/job_controller.cpp
@@ -280,6 +280,10 @@
     {
         this->services.pool.mark_leaving(attempt.server);
     }
+    const bool failed = reply.status == send_status::task_failed;
+    const bool blame_task = (failed || reply.status == send_status::answered) &&
+                            this->kinds.note(attempt.team + "/" + attempt.kind,
+                                             attempt.server, failed);
     if (reply.status == send_status::answered)
     {
         const microseconds run_time =
@@ -292,7 +296,7 @@
     {
         this->services.metrics.on_message(message_cause::refusal, 1);
     }
-    if (!reply.draining)
+    if (!reply.draining && !blame_task)
     {
         this->services.stats.on_failed(attempt.server, now);
     }
@@ -316,8 +320,6 @@
     task.answer = reply.result;
     const double slowness =
         std::max(this->services.stats.slowness(attempt.server), 0.01);
-    const double fastest = this->services.stats.slowness("");
-    (void)fastest;
     job.ideal =
         std::max(job.ideal,
                  microseconds(static_cast<std::int64_t>(
--- a/src/libjujubedrum/engine/job_controller.hpp
+++ b/src/libjujubedrum/engine/job_controller.hpp
@@ -2,6 +2,7 @@
 
 #include "base/random_source.hpp"
 #include "base/time.hpp"
+#include "engine/kind_results.hpp"
 #include "engine/metrics_sink.hpp"
 #include "engine/outbox.hpp"
 #include "engine/quota_controller.hpp"
@@ -145,6 +146,7 @@
     std::map<attempt_id, running_attempt> attempts;
     std::set<due_retry> retries;
     std::set<std::pair<instant, std::uint64_t>> deadlines;
+    kind_results kinds;
     std::uint64_t last_job = 0;
     attempt_id last_attempt = 0;
 };
