Divide quotas among the listed names

Cause: every instance divided quotas between itself and one entry "other instances". Shares of tasks in flight are rounded in the order of names, so the order differed between instances: with 7 tasks in flight and three instances whose names sort after "other instances", each takes 3, and with 2 tasks in flight and names that sort before it, each takes none.

Change: the listed peers are passed with their names and weights.

Found by reading; the figures above are derived from the rounding rule, not run. quota_uneven_shares_add_up guards the sum of the shares.

--- a/src/libjujubedrum/engine/member_controller.cpp
+++ b/src/libjujubedrum/engine/member_controller.cpp
@@ -164,13 +164,18 @@
 
 void member_controller::rebuild_quotas(instant now)
 {
+    // Every instance has to divide among the same names: the shares of tasks
+    // in flight are rounded in the order of names.
     const instance_info& self = this->members.self();
-    const auto total = static_cast<double>(this->members.listed_weight());
-    const auto own = static_cast<double>(self.weight);
-    std::vector<weighted_instance> listed{{self.name, own}};
-    if (total > own)
+    std::vector<weighted_instance> listed{
+        {self.name, static_cast<double>(self.weight)}};
+    for (const peer_view& peer : this->members.peers())
     {
-        listed.push_back({"other instances", total - own});
+        if (peer.info.state != listed_state::gone)
+        {
+            listed.push_back(
+                {peer.info.name, static_cast<double>(peer.info.weight)});
+        }
     }
     this->quotas.set_listed(std::move(listed), now);
 }
--- a/tests/unit/engine_test.cpp
+++ b/tests/unit/engine_test.cpp
@@ -594,6 +594,21 @@
     BOOST_TEST(admitted > 30 * 5);
 }
 
+// Guards against rounded shares that exceed the quota or leave a team none.
+BOOST_AUTO_TEST_CASE(quota_uneven_shares_add_up)
+{
+    this->bed.edit(R"({"quota":{"tasks_per_second":30,"in_flight":2}})");
+    this->bed.run(seconds(3));
+    int caps = 0;
+    for (const bed_node& node : this->bed.nodes)
+    {
+        const std::string state = node.engine->dump(this->bed.now);
+        const std::string key = "\"in_flight_cap\":";
+        caps += std::stoi(state.substr(state.find(key) + key.size()));
+    }
+    BOOST_TEST(caps == 2);
+}
+
 // Guards against a restarted instance that serves an older configuration.
 BOOST_AUTO_TEST_CASE(restart_lagging_log_adopts_peer_revision)
 {
