State not_run only if the refusal is remembered

Cause: a job refused because the job table was full, because its id was from the future, or because too many claims waited was answered not_run, and nothing kept a later copy of the request from running.

Change: refusals of ids from the future are stored. A refusal that cannot be stored ends in a 503 error "overloaded" instead of an outcome; a caller's id that was claimed keeps not_run, because the claim ledger remembers it.

Found by reading; the table and the ledger were not filled in a test.

--- a/src/libjujubedrum/engine/dispatch_engine.cpp
+++ b/src/libjujubedrum/engine/dispatch_engine.cpp
@@ -592,14 +592,13 @@
                     outcome::failed(outcome_reason::id_expired, why.message()));
         return;
     case job_error::in_future:
-        this->reply(
-            token, id,
+        this->end_unsent(
+            job, {token},
             outcome::not_run(outcome_reason::clock_skew, why.message(), false));
         return;
     default:
-        this->reply(
-            token, id,
-            outcome::not_run(outcome_reason::overloaded, why.message(), true));
+        // Nothing is known about the id, so no outcome may be stated.
+        this->reply_error(token, 503, "overloaded", why.message());
         return;
     }
 }
@@ -712,12 +711,9 @@
         {
             quota->refund(tasks);
         }
-        for (const request_token token : waiters)
-        {
-            this->reply(token, id,
-                        outcome::not_run(outcome_reason::overloaded,
-                                         "too many jobs are running", true));
-        }
+        this->end_unsent(job, waiters,
+                         outcome::not_run(outcome_reason::overloaded,
+                                          "too many jobs are running", true));
         return;
     }
     this->jobs.start(std::move(job), received, deadline, this->now);
@@ -781,7 +777,9 @@
 {
     // The refusal is stored, so that a delayed copy of the request cannot run
     // a job that its caller was told did not run.
-    if (this->table.open(job, this->now) == open_verdict::opened)
+    const bool stored =
+        this->table.open(job, this->now) == open_verdict::opened;
+    if (stored)
     {
         this->table.finish(job.id(), result, this->now);
     }
@@ -789,7 +787,13 @@
     this->metrics.on_job_finished(to_string(result.kind()), 0.0);
     for (const request_token token : waiters)
     {
-        this->reply(token, job.id(), result);
+        if (stored || job.has_caller_id())
+        {
+            // The claim ledger remembers a caller's id.
+            this->reply(token, job.id(), result);
+            continue;
+        }
+        this->reply_error(token, 503, "overloaded", result.text());
     }
 }
 
