Let the claim decide before a job is refused

Cause: a caller's id was refused for want of room or time, or because the instance was stopping, before its claim was looked up, although another instance could be running the id. A job whose forwarding got no reply was answered not_run once the claim timed out, although the peer could have run it. A cancellation did not find a job whose id was being claimed, answered 404, and the job started.

Change: refusals follow the claim. If the claim is withdrawn and a peer may have the job, that peer is asked; without a definite answer the job ends as failed. A cancelled job that wins its claim ends as not_run, and one that loses it cancels the job at its holder. A claim held by this process is answered from the job table. The table keeps ids at least for the claim window.

Before: forwarded_reply_lost_log_down_is_not_refused, resubmission_at_draining_instance_is_not_refused and cancel_while_claiming_starts_nothing fail; schedules fail.

Ruled out: refusing early when the queue is full; the refusal would state not_run without proof. Storing in_progress for the doubtful job; the table holds only ends of jobs, and a later copy would get not_run.

--- a/src/libjujubedrum/engine/dispatch_engine.cpp
+++ b/src/libjujubedrum/engine/dispatch_engine.cpp
@@ -36,8 +36,9 @@
 {
     job_table_limits limits;
     limits.max_bytes = options.answer_budget_bytes;
-    limits.answer_lifetime = std::max(options.tunables.answer_lifetime,
-                                      options.tunables.id_lifetime);
+    limits.answer_lifetime =
+        std::max({options.tunables.answer_lifetime,
+                  options.tunables.id_lifetime, options.tunables.claim_window});
     return limits;
 }
 
@@ -219,6 +220,13 @@
         this->reply(next.token, next.id, *known->result);
         return;
     }
+    const auto claim = this->claiming.find(next.id);
+    if (claim != this->claiming.end() && claim->second.job.team() == next.team)
+    {
+        claim->second.cancelled = true;
+        claim->second.waiters.push_back(next.token);
+        return;
+    }
     if (!known && this->pass_on(next.token, next.id, next.hops,
                                 cancel_request{next.id, next.team}))
     {
@@ -411,8 +419,11 @@
     if (call.job && call.job->has_caller_id())
     {
         // The claim on the log decides, whether or not the peer got the job.
+        const auto* failure = std::get_if<peer_failure>(&reply);
+        const bool not_sent =
+            failure != nullptr && failure->delivery == peer_delivery::not_sent;
         this->claim(std::move(*call.job), call.token, call.received,
-                    call.deadline);
+                    call.deadline, not_sent ? "" : call.peer);
         return;
     }
     this->answer_unreachable(call.token, call.id);
@@ -460,6 +471,30 @@
     }
 }
 
+void dispatch_engine::on_result(doubtful_call& call, peer_reply& reply)
+{
+    const auto found = this->claiming.find(call.id);
+    if (found == this->claiming.end())
+    {
+        return;
+    }
+    const claiming_job job = std::move(found->second);
+    this->claiming.erase(found);
+    outcome result =
+        outcome::failed(outcome_reason::log_unavailable,
+                        "a peer may have run the job, and neither it nor the "
+                        "log tells");
+    const auto* answer = std::get_if<job_reply>(&reply);
+    const auto parsed =
+        answer != nullptr ? api_reply::parse(answer->body) : std::nullopt;
+    const outcome* known = parsed ? parsed->result() : nullptr;
+    if (known != nullptr && known->kind() != outcome_kind::in_progress)
+    {
+        result = *known;
+    }
+    this->end_unsent(job.job, job.waiters, std::move(result));
+}
+
 void dispatch_engine::reply(request_token token, const std::string& id,
                             outcome result)
 {
@@ -561,28 +596,32 @@
         return;
     }
     const instant deadline = this->now + next.remaining;
-    this->claim(std::move(next.job), next.token, this->now, deadline);
+    this->claim(std::move(next.job), next.token, this->now, deadline, "");
 }
 
 void dispatch_engine::claim(submission job, request_token token,
-                            instant received, instant deadline)
+                            instant received, instant deadline,
+                            const std::string& sent_to)
 {
+    const std::string id = job.id();
     if (this->answer_known(token, job))
     {
+        const auto same = this->claiming.find(id);
+        if (same != this->claiming.end() && !sent_to.empty())
+        {
+            same->second.sent_to = sent_to;
+        }
         return;
     }
-    if (auto refused = this->refuse(job, deadline))
-    {
-        this->end_unsent(job, {token}, std::move(*refused));
-        return;
-    }
-    const std::string id = job.id();
+    // Only the claim shows whether another instance runs the id, so a job is
+    // refused for want of room or time after it, never before.
     job_reason why;
     if (this->claims.claim(id, job.digest(),
                            job.created_at().value_or(wall_time(0)), this->now,
                            this->wall, why))
     {
-        this->claiming[id] = {std::move(job), received, deadline, {token}};
+        this->claiming[id] = {std::move(job), received, deadline,
+                              {token},        sent_to,  false};
         return;
     }
     switch (why.code())
@@ -820,55 +859,110 @@
     {
         return;
     }
+    if (verdict.result == claim_result::withdrawn)
+    {
+        this->settle_withdrawn(verdict);
+        return;
+    }
     claiming_job job = std::move(found->second);
     this->claiming.erase(found);
-    if (verdict.result == claim_result::won)
+    if (verdict.result == claim_result::lost)
     {
-        this->admit(std::move(job.job), job.waiters, job.received,
-                    job.deadline);
+        for (const request_token token : job.waiters)
+        {
+            this->settle_lost(verdict, job, token);
+        }
         return;
     }
-    if (verdict.result == claim_result::withdrawn)
+    if (job.cancelled)
     {
         this->end_unsent(job.job, job.waiters,
-                         outcome::not_run(outcome_reason::log_unavailable,
-                                          "the id could not be claimed on the "
-                                          "platform's log; use an issued id, "
-                                          "or try again",
-                                          true));
+                         outcome::not_run(outcome_reason::cancelled,
+                                          "cancelled by the caller", false));
         return;
     }
-    const bool dead = this->members.table().is_dead(
-        verdict.instance, verdict.incarnation, this->now);
-    for (const request_token token : job.waiters)
-    {
-        if (verdict.digest != job.job.digest())
-        {
-            this->reply_error(token, 409, "conflict",
-                              "the id belongs to a job with another body");
-        }
-        else if (dead || verdict.instance == this->options.self.name)
-        {
-            this->reply(token, verdict.id,
-                        outcome::failed(outcome_reason::instance_dead,
-                                        "the instance that claimed the id is "
-                                        "gone; the tasks may have run"));
-        }
-        else if (const auto peer = this->members.reachable(verdict.instance))
-        {
-            forwarded_call context;
-            context.token = token;
-            context.id = verdict.id;
-            context.peer = verdict.instance;
-            this->metrics.on_message(message_cause::forward, 2);
-            this->call(*peer, collect_request{verdict.id, job.job.team(), {}},
-                       std::move(context));
-        }
-        else
+    this->admit(std::move(job.job), job.waiters, job.received, job.deadline);
+}
+
+void dispatch_engine::settle_withdrawn(const claim_verdict& verdict)
+{
+    const auto found = this->claiming.find(verdict.id);
+    const claiming_job& known = found->second;
+    const auto peer = this->members.reachable(known.sent_to);
+    if (peer)
+    {
+        // The peer may run the job. The entry stays, so that copies wait too.
+        peer_request request =
+            collect_request{verdict.id, known.job.team(), {}};
+        if (known.cancelled)
         {
-            this->answer_unreachable(token, verdict.id);
+            request = cancel_request{verdict.id, known.job.team()};
         }
+        this->metrics.on_message(message_cause::forward, 2);
+        this->call(*peer, std::move(request), doubtful_call{verdict.id});
+        return;
+    }
+    const claiming_job job = std::move(found->second);
+    this->claiming.erase(found);
+    this->end_unsent(
+        job.job, job.waiters,
+        job.sent_to.empty()
+            ? outcome::not_run(outcome_reason::log_unavailable,
+                               "the id could not be claimed on the platform's "
+                               "log; use an issued id, or try again",
+                               true)
+            : outcome::failed(outcome_reason::log_unavailable,
+                              "a peer may have run the job, and neither it nor "
+                              "the log tells"));
+}
+
+void dispatch_engine::settle_lost(const claim_verdict& verdict,
+                                  const claiming_job& job, request_token token)
+{
+    if (verdict.digest != job.job.digest())
+    {
+        this->reply_error(token, 409, "conflict",
+                          "the id belongs to a job with another body");
+        return;
     }
+    const bool own = verdict.instance == this->options.self.name;
+    if (own && verdict.incarnation == this->options.incarnation &&
+        this->answer_known(token, job.job))
+    {
+        return;
+    }
+    if (own || this->members.table().is_dead(verdict.instance,
+                                             verdict.incarnation, this->now))
+    {
+        this->reply(token, verdict.id,
+                    outcome::failed(outcome_reason::instance_dead,
+                                    "the instance that claimed the id is "
+                                    "gone; the tasks may have run"));
+        return;
+    }
+    this->ask_holder(verdict, job, token);
+}
+
+void dispatch_engine::ask_holder(const claim_verdict& verdict,
+                                 const claiming_job& job, request_token token)
+{
+    const auto peer = this->members.reachable(verdict.instance);
+    if (!peer)
+    {
+        this->answer_unreachable(token, verdict.id);
+        return;
+    }
+    forwarded_call context;
+    context.token = token;
+    context.id = verdict.id;
+    context.peer = verdict.instance;
+    peer_request request = collect_request{verdict.id, job.job.team(), {}};
+    if (job.cancelled)
+    {
+        request = cancel_request{verdict.id, job.job.team()};
+    }
+    this->metrics.on_message(message_cause::forward, 2);
+    this->call(*peer, std::move(request), std::move(context));
 }
 
 void dispatch_engine::send_heartbeats()
--- a/src/libjujubedrum/engine/dispatch_engine.hpp
+++ b/src/libjujubedrum/engine/dispatch_engine.hpp
@@ -88,6 +88,10 @@
         instant received{0};
         instant deadline{0};
         std::vector<request_token> waiters;
+        /// Peer that may have got the job from here; empty if none.
+        std::string sent_to;
+        /// Whether the caller cancelled the job meanwhile.
+        bool cancelled = false;
     };
 
     /// A job or a question about one passed to a peer.
@@ -117,8 +121,14 @@
     struct config_call
     {
     };
-    using pending_call = std::variant<forwarded_call, heartbeat_call,
-                                      borrow_call, report_call, config_call>;
+    /// A question to the peer that may have got a job whose claim failed.
+    struct doubtful_call
+    {
+        std::string id;
+    };
+    using pending_call =
+        std::variant<forwarded_call, heartbeat_call, borrow_call, report_call,
+                     config_call, doubtful_call>;
 
     void on(submit_event&& next);
     void on(collect_event&& next);
@@ -147,6 +157,7 @@
     void on_result(borrow_call& call, peer_reply& reply);
     void on_result(report_call& call, peer_reply& reply);
     void on_result(config_call& call, peer_reply& reply);
+    void on_result(doubtful_call& call, peer_reply& reply);
 
     void reply(request_token token, const std::string& id, outcome result);
     void reply_error(request_token token, int status, std::string code,
@@ -155,7 +166,12 @@
     void submit_issued(submit_event&& next, const issued_id& id);
     void submit_chosen(submit_event&& next);
     void claim(submission job, request_token token, instant received,
-               instant deadline);
+               instant deadline, const std::string& sent_to);
+    void settle_lost(const claim_verdict& verdict, const claiming_job& job,
+                     request_token token);
+    void settle_withdrawn(const claim_verdict& verdict);
+    void ask_holder(const claim_verdict& verdict, const claiming_job& job,
+                    request_token token);
     void forward(submit_event&& next, const std::string& to);
     void answer_unreachable(request_token token, const std::string& id);
     bool pass_on(request_token token, const std::string& id, std::uint32_t hops,
