Wait for the holder's answer until the job's deadline

Cause: an instance that lost a claim asked the holder with no time to wait, so the peer network gave up after its margin of 1 s and the caller got in_progress although the holder was about to answer. The question about a doubtful job would end as failed for the same reason.

Change: both questions wait for the rest of the job's time. The bed takes the times of the peer network: remaining time or wait and 1 s, 2 s otherwise.

The case was not run without the change.

--- a/src/libjujubedrum/engine/dispatch_engine.cpp
+++ b/src/libjujubedrum/engine/dispatch_engine.cpp
@@ -150,6 +150,11 @@
                                                      : remaining;
 }
 
+microseconds dispatch_engine::until(instant deadline) const
+{
+    return std::max(deadline - this->now, microseconds(0));
+}
+
 bool dispatch_engine::idle() const
 {
     return this->jobs.running() == 0 && this->jobs.in_flight() == 0 &&
@@ -892,8 +897,8 @@
     if (peer)
     {
         // The peer may run the job. The entry stays, so that copies wait too.
-        peer_request request =
-            collect_request{verdict.id, known.job.team(), {}};
+        peer_request request = collect_request{verdict.id, known.job.team(),
+                                               this->until(known.deadline)};
         if (known.cancelled)
         {
             request = cancel_request{verdict.id, known.job.team()};
@@ -956,7 +961,8 @@
     context.token = token;
     context.id = verdict.id;
     context.peer = verdict.instance;
-    peer_request request = collect_request{verdict.id, job.job.team(), {}};
+    peer_request request =
+        collect_request{verdict.id, job.job.team(), this->until(job.deadline)};
     if (job.cancelled)
     {
         request = cancel_request{verdict.id, job.job.team()};
--- a/src/libjujubedrum/engine/dispatch_engine.hpp
+++ b/src/libjujubedrum/engine/dispatch_engine.hpp
@@ -194,6 +194,7 @@
     void fetch_newer_document();
     void update_ready();
     void note_pause(instant at);
+    [[nodiscard]] microseconds until(instant deadline) const;
     [[nodiscard]] microseconds without_pause(microseconds remaining) const;
     [[nodiscard]] capacity_view capacity() const;
     [[nodiscard]] peer_phase phase() const;
--- a/tests/unit/engine_test.cpp
+++ b/tests/unit/engine_test.cpp
@@ -128,6 +128,23 @@
     }
 }
 
+// Guards against an answer that a claim's loser does not wait for.
+BOOST_AUTO_TEST_CASE(claim_lost_to_running_holder_waits_for_its_answer)
+{
+    const std::string id = this->id(true);
+    const std::string body = this->bed.body(id, 2, false, 4000, 20'000);
+    this->bed.submit(0, body);
+    this->bed.run(milliseconds(300));
+    const std::size_t runner = this->runner(id);
+    // The holder cannot be reached until the other instance claims the id.
+    this->bed.nodes[runner].group = 1;
+    const auto again = this->bed.submit(this->other(runner), body);
+    this->bed.run(milliseconds(450));
+    this->bed.nodes[runner].group = 0;
+    BOOST_TEST(this->end(again) == "complete");
+    BOOST_TEST(this->bed.starts(id) == 2);
+}
+
 // Guards against another instance that starts the job of a frozen one.
 BOOST_AUTO_TEST_CASE(resubmission_instance_frozen_is_in_progress)
 {
