--- a/src/libjujubedrum/config/tunables.hpp
+++ b/src/libjujubedrum/config/tunables.hpp
@@ -24,7 +24,7 @@
     /// Period of heartbeats between peers.
     std::chrono::milliseconds heartbeat_interval{500};
     /// Idle time after which a borrowed slot is returned.
-    std::chrono::milliseconds grant_linger{1000};
+    std::chrono::milliseconds grant_linger{4000};
     /// Longest wait of a read of stream `config`.
     std::chrono::milliseconds config_poll_wait{2000};
     /// Period of reads of the platform's list.
--- a/src/libjujubedrum/engine/dispatch_engine.cpp
+++ b/src/libjujubedrum/engine/dispatch_engine.cpp
@@ -15,9 +15,17 @@
 /// Time a new instance gives its peers to report a newer configuration.
 constexpr microseconds peer_grace = milliseconds(1500);
 
-/// Time a peer may take to answer a question about a job. The caller's own
-/// wait, at most 60 s, ends it earlier.
-constexpr microseconds collect_wait = seconds(60);
+/// Time a peer may take to answer a question about a job; then the caller is
+/// told to ask again, which also bounds the wait for a peer that is gone.
+constexpr microseconds collect_wait = seconds(10);
+
+/// Time without an event, ticks included, from which the process counts as
+/// paused; a tick comes every 10 ms.
+constexpr microseconds shortest_pause = milliseconds(250);
+
+/// Time after a pause in which requests may still come out of the sockets'
+/// buffers. Their age is unknown; they are taken to be as old as the pause.
+constexpr microseconds pause_echo = milliseconds(500);
 
 claim_settings claim_settings_of(const tunables& values)
 {
@@ -32,8 +40,9 @@
 {
     job_table_limits limits;
     limits.max_bytes = options.answer_budget_bytes;
-    limits.answer_lifetime = std::max(options.tunables.answer_lifetime,
-                                      options.tunables.id_lifetime);
+    limits.answer_lifetime =
+        std::max({options.tunables.answer_lifetime,
+                  options.tunables.id_lifetime, options.tunables.claim_window});
     return limits;
 }
 
@@ -114,6 +123,7 @@
 std::vector<action> dispatch_engine::handle(event next, instant at,
                                             wall_time wall_now)
 {
+    this->note_pause(at);
     this->now = at;
     this->wall = wall_now;
     if (this->started_at < instant(0))
@@ -130,6 +140,26 @@
     return this->out.take();
 }
 
+void dispatch_engine::note_pause(instant at)
+{
+    if (this->started_at >= instant(0) && at - this->now >= shortest_pause)
+    {
+        this->pause = at - this->now;
+        this->resumed_at = at;
+    }
+}
+
+microseconds dispatch_engine::without_pause(microseconds remaining) const
+{
+    return this->now - this->resumed_at < pause_echo ? remaining - this->pause
+                                                     : remaining;
+}
+
+microseconds dispatch_engine::until(instant deadline) const
+{
+    return std::max(deadline - this->now, microseconds(0));
+}
+
 bool dispatch_engine::idle() const
 {
     return this->jobs.running() == 0 && this->jobs.in_flight() == 0 &&
@@ -138,6 +168,7 @@
 
 void dispatch_engine::on(submit_event&& next)
 {
+    next.remaining = this->without_pause(next.remaining);
     if (next.job.id().empty())
     {
         next.job =
@@ -200,6 +231,13 @@
         this->reply(next.token, next.id, *known->result);
         return;
     }
+    const auto claim = this->claiming.find(next.id);
+    if (claim != this->claiming.end() && claim->second.job.team() == next.team)
+    {
+        claim->second.cancelled = true;
+        claim->second.waiters.push_back(next.token);
+        return;
+    }
     if (!known && this->pass_on(next.token, next.id, next.hops,
                                 cancel_request{next.id, next.team}))
     {
@@ -394,8 +432,11 @@
     if (call.job && call.job->has_caller_id())
     {
         // The claim on the log decides, whether or not the peer got the job.
+        const auto* failure = std::get_if<peer_failure>(&reply);
+        const bool not_sent =
+            failure != nullptr && failure->delivery == peer_delivery::not_sent;
         this->claim(std::move(*call.job), call.token, call.received,
-                    call.deadline);
+                    call.deadline, not_sent ? "" : call.peer);
         return;
     }
     this->answer_unreachable(call.token, call.id);
@@ -419,6 +460,7 @@
     const auto* answer = std::get_if<borrow_reply>(&reply);
     if (answer == nullptr)
     {
+        this->note_failure(call.lender, reply);
         this->grants.on_no_reply(call.sequence, this->now);
         return;
     }
@@ -428,6 +470,7 @@
 
 void dispatch_engine::on_result(report_call& call, peer_reply& reply)
 {
+    this->note_failure(call.lender, reply);
     if (const auto* answer = std::get_if<give_back_reply>(&reply))
     {
         this->grants.on_revoked(call.lender, answer->revoked);
@@ -443,6 +486,30 @@
     }
 }
 
+void dispatch_engine::on_result(doubtful_call& call, peer_reply& reply)
+{
+    const auto found = this->claiming.find(call.id);
+    if (found == this->claiming.end())
+    {
+        return;
+    }
+    const claiming_job job = std::move(found->second);
+    this->claiming.erase(found);
+    outcome result =
+        outcome::failed(outcome_reason::log_unavailable,
+                        "a peer may have run the job, and neither it nor the "
+                        "log tells");
+    const auto* answer = std::get_if<job_reply>(&reply);
+    const auto parsed =
+        answer != nullptr ? api_reply::parse(answer->body) : std::nullopt;
+    const outcome* known = parsed ? parsed->result() : nullptr;
+    if (known != nullptr && known->kind() != outcome_kind::in_progress)
+    {
+        result = *known;
+    }
+    this->end_unsent(job.job, job.waiters, std::move(result));
+}
+
 void dispatch_engine::reply(request_token token, const std::string& id,
                             outcome result)
 {
@@ -544,28 +611,32 @@
         return;
     }
     const instant deadline = this->now + next.remaining;
-    this->claim(std::move(next.job), next.token, this->now, deadline);
+    this->claim(std::move(next.job), next.token, this->now, deadline, "");
 }
 
 void dispatch_engine::claim(submission job, request_token token,
-                            instant received, instant deadline)
+                            instant received, instant deadline,
+                            const std::string& sent_to)
 {
+    const std::string id = job.id();
     if (this->answer_known(token, job))
     {
+        const auto same = this->claiming.find(id);
+        if (same != this->claiming.end() && !sent_to.empty())
+        {
+            same->second.sent_to = sent_to;
+        }
         return;
     }
-    if (auto refused = this->refuse(job, deadline))
-    {
-        this->end_unsent(job, {token}, std::move(*refused));
-        return;
-    }
-    const std::string id = job.id();
+    // Only the claim shows whether another instance runs the id, so a job is
+    // refused for want of room or time after it, never before.
     job_reason why;
     if (this->claims.claim(id, job.digest(),
                            job.created_at().value_or(wall_time(0)), this->now,
                            this->wall, why))
     {
-        this->claiming[id] = {std::move(job), received, deadline, {token}};
+        this->claiming[id] = {std::move(job), received, deadline,
+                              {token},        sent_to,  false};
         return;
     }
     switch (why.code())
@@ -575,14 +646,13 @@
                     outcome::failed(outcome_reason::id_expired, why.message()));
         return;
     case job_error::in_future:
-        this->reply(
-            token, id,
+        this->end_unsent(
+            job, {token},
             outcome::not_run(outcome_reason::clock_skew, why.message(), false));
         return;
     default:
-        this->reply(
-            token, id,
-            outcome::not_run(outcome_reason::overloaded, why.message(), true));
+        // Nothing is known about the id, so no outcome may be stated.
+        this->reply_error(token, 503, "overloaded", why.message());
         return;
     }
 }
@@ -695,12 +765,9 @@
         {
             quota->refund(tasks);
         }
-        for (const request_token token : waiters)
-        {
-            this->reply(token, id,
-                        outcome::not_run(outcome_reason::overloaded,
-                                         "too many jobs are running", true));
-        }
+        this->end_unsent(job, waiters,
+                         outcome::not_run(outcome_reason::overloaded,
+                                          "too many jobs are running", true));
         return;
     }
     this->jobs.start(std::move(job), received, deadline, this->now);
@@ -764,7 +831,9 @@
 {
     // The refusal is stored, so that a delayed copy of the request cannot run
     // a job that its caller was told did not run.
-    if (this->table.open(job, this->now) == open_verdict::opened)
+    const bool stored =
+        this->table.open(job, this->now) == open_verdict::opened;
+    if (stored)
     {
         this->table.finish(job.id(), result, this->now);
     }
@@ -772,7 +841,13 @@
     this->metrics.on_job_finished(to_string(result.kind()), 0.0);
     for (const request_token token : waiters)
     {
-        this->reply(token, job.id(), result);
+        if (stored || job.has_caller_id())
+        {
+            // The claim ledger remembers a caller's id.
+            this->reply(token, job.id(), result);
+            continue;
+        }
+        this->reply_error(token, 503, "overloaded", result.text());
     }
 }
 
@@ -784,6 +859,18 @@
     this->out.add(call_peer_action{id, peer, std::move(request)});
 }
 
+void dispatch_engine::note_failure(const std::string& peer,
+                                   const peer_reply& reply)
+{
+    // A broken connection raises doubt at once; the next heartbeats, which go
+    // to doubtful peers first, confirm or clear it.
+    const auto* failure = std::get_if<peer_failure>(&reply);
+    if (failure != nullptr && failure->error == peer_error::unreachable)
+    {
+        this->members.table().on_heartbeat_failed(peer, this->now);
+    }
+}
+
 void dispatch_engine::settle_claims()
 {
     for (const claim_verdict& verdict : this->claims.take_verdicts())
@@ -799,57 +886,111 @@
     {
         return;
     }
+    if (verdict.result == claim_result::withdrawn)
+    {
+        this->settle_withdrawn(verdict);
+        return;
+    }
     claiming_job job = std::move(found->second);
     this->claiming.erase(found);
-    if (verdict.result == claim_result::won)
+    if (verdict.result == claim_result::lost)
     {
-        this->admit(std::move(job.job), job.waiters, job.received,
-                    job.deadline);
+        for (const request_token token : job.waiters)
+        {
+            this->settle_lost(verdict, job, token);
+        }
         return;
     }
-    if (verdict.result == claim_result::withdrawn)
+    if (job.cancelled)
     {
         this->end_unsent(job.job, job.waiters,
-                         outcome::not_run(outcome_reason::log_unavailable,
-                                          "the id could not be claimed on the "
-                                          "platform's log; use an issued id, "
-                                          "or try again",
-                                          true));
+                         outcome::not_run(outcome_reason::cancelled,
+                                          "cancelled by the caller", false));
         return;
     }
-    const bool dead = this->members.table().is_dead(
-        verdict.instance, verdict.incarnation, this->now);
-    for (const request_token token : job.waiters)
-    {
-        if (verdict.digest != job.job.digest())
-        {
-            this->reply_error(token, 409, "conflict",
-                              "the id belongs to a job with another body");
-        }
-        else if (dead || verdict.instance == this->options.self.name)
-        {
-            this->reply(token, verdict.id,
-                        outcome::failed(outcome_reason::instance_dead,
-                                        "the instance that claimed the id is "
-                                        "gone; the tasks may have run"));
-        }
-        else if (const auto peer = this->members.reachable(verdict.instance))
-        {
-            forwarded_call context;
-            context.token = token;
-            context.id = verdict.id;
-            context.peer = verdict.instance;
-            this->metrics.on_message(message_cause::forward, 2);
-            this->call(
-                *peer,
-                collect_request{verdict.id, job.job.team(), collect_wait},
-                std::move(context));
-        }
-        else
+    this->admit(std::move(job.job), job.waiters, job.received, job.deadline);
+}
+
+void dispatch_engine::settle_withdrawn(const claim_verdict& verdict)
+{
+    const auto found = this->claiming.find(verdict.id);
+    const claiming_job& known = found->second;
+    const auto peer = this->members.reachable(known.sent_to);
+    if (peer)
+    {
+        // The peer may run the job. The entry stays, so that copies wait too.
+        peer_request request = collect_request{verdict.id, known.job.team(),
+                                               this->until(known.deadline)};
+        if (known.cancelled)
         {
-            this->answer_unreachable(token, verdict.id);
+            request = cancel_request{verdict.id, known.job.team()};
         }
+        this->metrics.on_message(message_cause::forward, 2);
+        this->call(*peer, std::move(request), doubtful_call{verdict.id});
+        return;
+    }
+    const claiming_job job = std::move(found->second);
+    this->claiming.erase(found);
+    this->end_unsent(
+        job.job, job.waiters,
+        job.sent_to.empty()
+            ? outcome::not_run(outcome_reason::log_unavailable,
+                               "the id could not be claimed on the platform's "
+                               "log; use an issued id, or try again",
+                               true)
+            : outcome::failed(outcome_reason::log_unavailable,
+                              "a peer may have run the job, and neither it nor "
+                              "the log tells"));
+}
+
+void dispatch_engine::settle_lost(const claim_verdict& verdict,
+                                  const claiming_job& job, request_token token)
+{
+    if (verdict.digest != job.job.digest())
+    {
+        this->reply_error(token, 409, "conflict",
+                          "the id belongs to a job with another body");
+        return;
     }
+    const bool own = verdict.instance == this->options.self.name;
+    if (own && verdict.incarnation == this->options.incarnation &&
+        this->answer_known(token, job.job))
+    {
+        return;
+    }
+    if (own || this->members.table().is_dead(verdict.instance,
+                                             verdict.incarnation, this->now))
+    {
+        this->reply(token, verdict.id,
+                    outcome::failed(outcome_reason::instance_dead,
+                                    "the instance that claimed the id is "
+                                    "gone; the tasks may have run"));
+        return;
+    }
+    this->ask_holder(verdict, job, token);
+}
+
+void dispatch_engine::ask_holder(const claim_verdict& verdict,
+                                 const claiming_job& job, request_token token)
+{
+    const auto peer = this->members.reachable(verdict.instance);
+    if (!peer)
+    {
+        this->answer_unreachable(token, verdict.id);
+        return;
+    }
+    forwarded_call context;
+    context.token = token;
+    context.id = verdict.id;
+    context.peer = verdict.instance;
+    peer_request request =
+        collect_request{verdict.id, job.job.team(), this->until(job.deadline)};
+    if (job.cancelled)
+    {
+        request = cancel_request{verdict.id, job.job.team()};
+    }
+    this->metrics.on_message(message_cause::forward, 2);
+    this->call(*peer, std::move(request), std::move(context));
 }
 
 void dispatch_engine::send_heartbeats()
@@ -887,7 +1028,7 @@
         return;
     }
     this->metrics.on_message(message_cause::grant, 2);
-    this->call(*peer, planned->request, borrow_call{planned->request.sequence});
+    this->call(*peer, planned->request, borrow_call{planned->lender, planned->request.sequence});
 }
 
 void dispatch_engine::return_slots()
@@ -933,6 +1074,9 @@
     job_options changed = this->jobs.current_options();
     changed.hedging = document.system().objective() == objective::response_time;
     this->jobs.set_options(changed);
+    this->policy->set_tuning(placement_tuning::for_objective(
+        changed.hedging ? placement_objective::response_time
+                        : placement_objective::messages));
     this->out.add(document_action{this->applied_revision});
 }
 
--- a/src/libjujubedrum/engine/dispatch_engine.hpp
+++ b/src/libjujubedrum/engine/dispatch_engine.hpp
@@ -88,6 +88,10 @@
         instant received{0};
         instant deadline{0};
         std::vector<request_token> waiters;
+        /// Peer that may have got the job from here; empty if none.
+        std::string sent_to;
+        /// Whether the caller cancelled the job meanwhile.
+        bool cancelled = false;
     };
 
     /// A job or a question about one passed to a peer.
@@ -108,6 +112,7 @@
     };
     struct borrow_call
     {
+        std::string lender;
         std::uint64_t sequence = 0;
     };
     struct report_call
@@ -117,8 +122,14 @@
     struct config_call
     {
     };
-    using pending_call = std::variant<forwarded_call, heartbeat_call,
-                                      borrow_call, report_call, config_call>;
+    /// A question to the peer that may have got a job whose claim failed.
+    struct doubtful_call
+    {
+        std::string id;
+    };
+    using pending_call =
+        std::variant<forwarded_call, heartbeat_call, borrow_call, report_call,
+                     config_call, doubtful_call>;
 
     void on(submit_event&& next);
     void on(collect_event&& next);
@@ -147,6 +158,7 @@
     void on_result(borrow_call& call, peer_reply& reply);
     void on_result(report_call& call, peer_reply& reply);
     void on_result(config_call& call, peer_reply& reply);
+    void on_result(doubtful_call& call, peer_reply& reply);
 
     void reply(request_token token, const std::string& id, outcome result);
     void reply_error(request_token token, int status, std::string code,
@@ -155,7 +167,12 @@
     void submit_issued(submit_event&& next, const issued_id& id);
     void submit_chosen(submit_event&& next);
     void claim(submission job, request_token token, instant received,
-               instant deadline);
+               instant deadline, const std::string& sent_to);
+    void settle_lost(const claim_verdict& verdict, const claiming_job& job,
+                     request_token token);
+    void settle_withdrawn(const claim_verdict& verdict);
+    void ask_holder(const claim_verdict& verdict, const claiming_job& job,
+                    request_token token);
     void forward(submit_event&& next, const std::string& to);
     void answer_unreachable(request_token token, const std::string& id);
     bool pass_on(request_token token, const std::string& id, std::uint32_t hops,
@@ -168,6 +185,7 @@
                     const std::vector<request_token>& waiters, outcome result);
     void call(const peer_address& peer, peer_request request,
               pending_call context);
+    void note_failure(const std::string& peer, const peer_reply& reply);
     void settle_claims();
     void settle_claim(const claim_verdict& verdict);
     void send_heartbeats();
@@ -177,6 +195,9 @@
     void apply_document();
     void fetch_newer_document();
     void update_ready();
+    void note_pause(instant at);
+    [[nodiscard]] microseconds until(instant deadline) const;
+    [[nodiscard]] microseconds without_pause(microseconds remaining) const;
     [[nodiscard]] capacity_view capacity() const;
     [[nodiscard]] peer_phase phase() const;
 
@@ -203,6 +224,9 @@
     instant now{0};
     wall_time wall{0};
     instant started_at{-1};
+    /// Length and end of the latest time in which nothing was handled.
+    microseconds pause{0};
+    instant resumed_at{0};
     std::uint64_t applied_revision = 0;
     bool fetching_config = false;
     bool is_ready = false;
--- a/src/libjujubedrum/engine/job_controller.cpp
+++ b/src/libjujubedrum/engine/job_controller.cpp
@@ -128,6 +128,8 @@
 
 void job_controller::pump(instant now)
 {
+    // The first event after a pause is not always a tick.
+    this->end_overdue_jobs(now);
     this->services.policy.begin_round(now);
     for (const team_task& next : this->queue.next(round_size))
     {
@@ -284,6 +286,10 @@
     {
         this->services.pool.mark_leaving(attempt.choice.server);
     }
+    const bool failed = reply.status == send_status::task_failed;
+    const bool blame_task = (failed || reply.status == send_status::answered) &&
+                            this->kinds.note(attempt.team + "/" + attempt.kind,
+                                             attempt.choice.server, failed);
     if (reply.status == send_status::answered)
     {
         const microseconds run_time =
@@ -296,7 +302,7 @@
     {
         this->services.metrics.on_message(message_cause::refusal, 1);
     }
-    if (!reply.draining)
+    if (!reply.draining && !blame_task)
     {
         this->services.stats.on_failed(attempt.choice.server, now);
     }
--- a/src/libjujubedrum/engine/member_controller.cpp
+++ b/src/libjujubedrum/engine/member_controller.cpp
@@ -147,30 +147,47 @@
     this->pool.set_servers(
         servers, slot_map::build(servers, entries, this->members.self().name,
                                  this->members.orphaned_domains()));
+    this->grants.on_slots_changed();
 }
 
 void member_controller::rebuild_peers()
 {
+    std::vector<entry_instance> same;
     std::vector<entry_instance> peers;
     for (const peer_view& peer : this->members.peers())
     {
-        if (is_live(peer) && peer.info.region == this->members.self().region)
+        if (!is_live(peer) || peer.info.region != this->members.self().region)
         {
-            peers.push_back(to_entry(peer.info));
+            continue;
+        }
+        std::uint64_t& known = this->incarnations[peer.info.name];
+        if (known == 0 || known == peer.incarnation)
+        {
+            same.push_back(to_entry(peer.info));
         }
+        known = peer.incarnation;
+        peers.push_back(to_entry(peer.info));
     }
+    // A restarted peer numbers its requests from 1 again: its old grants end
+    // before it counts as a peer again.
+    this->grants.set_peers(same, this->members.self().domain);
     this->grants.set_peers(peers, this->members.self().domain);
 }
 
 void member_controller::rebuild_quotas(instant now)
 {
+    // Every instance has to divide among the same names: the shares of tasks
+    // in flight are rounded in the order of names.
     const instance_info& self = this->members.self();
-    const auto total = static_cast<double>(this->members.listed_weight());
-    const auto own = static_cast<double>(self.weight);
-    std::vector<weighted_instance> listed{{self.name, own}};
-    if (total > own)
+    std::vector<weighted_instance> listed{
+        {self.name, static_cast<double>(self.weight)}};
+    for (const peer_view& peer : this->members.peers())
     {
-        listed.push_back({"other instances", total - own});
+        if (peer.info.state != listed_state::gone)
+        {
+            listed.push_back(
+                {peer.info.name, static_cast<double>(peer.info.weight)});
+        }
     }
     this->quotas.set_listed(std::move(listed), now);
 }
--- a/src/libjujubedrum/engine/member_controller.hpp
+++ b/src/libjujubedrum/engine/member_controller.hpp
@@ -10,6 +10,7 @@
 #include "placement/slot_pool.hpp"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -58,6 +59,8 @@
     grant_book& grants;
     quota_controller& quotas;
     std::optional<std::uint64_t> seen;
+    /// Incarnation of each peer at the last rebuild.
+    std::map<std::string, std::uint64_t> incarnations;
 };
 
 } // namespace jujubedrum
--- a/src/libjujubedrum/placement/placement_policy.hpp
+++ b/src/libjujubedrum/placement/placement_policy.hpp
@@ -54,6 +54,9 @@
     /// that free slots are exact and a grant can help a waiting task.
     [[nodiscard]] virtual bool uses_owned_slots() const { return false; }
 
+    /// Replaces the parameters.
+    void set_tuning(const placement_tuning& changed) { this->tuning = changed; }
+
     /// Accounts for a task that was sent.
     virtual void started(const slot_choice& choice, instant now);
     /// Accounts for a task that ended in any way.
