Record that not_run is stated without proof while the log is down

Nothing is mended, because the design prescribes the answer.

Ruled out: asking all peers (a dead one may have run it), telling first copies from later ones (needs the log or clocks). An answer of in_progress, or an error without an outcome, for every withdrawn claim would be right; it changes what new ids get in an outage from 503 not_run.

--- a/tests/unit/engine_test.cpp
+++ b/tests/unit/engine_test.cpp
@@ -328,6 +328,23 @@
     }
 }
 
+// Guards against not_run, while the log is down, for an id that an instance
+// out of reach runs.
+BOOST_AUTO_TEST_CASE(resubmission_log_down_holder_cut_off_is_not_refused)
+{
+    const std::string id = this->id(true);
+    const std::string body = this->bed.body(id, 1, false, 20'000, 60'000);
+    const std::string hasty = this->bed.body(id, 1, false, 20'000, 5000);
+    this->bed.submit(0, body);
+    this->bed.run(milliseconds(300));
+    const std::size_t runner = this->runner(id);
+    this->bed.nodes[runner].group = 1;
+    this->bed.run(seconds(12));
+    this->bed.faults.log_down = true;
+    const auto again = this->bed.submit(this->other(runner), hasty);
+    BOOST_TEST(this->end(again) != "not_run");
+}
+
 // Guards against not_run, for want of room or time, for an id that another
 // instance runs.
 BOOST_AUTO_TEST_CASE(resubmission_at_draining_instance_is_not_refused)
