Test the HTTP interface and keep idle connections from starving it

Cause: cpp-httplib blocks one pool thread for each open connection, so as many silent connections as http_threads held up every other caller for the 30 s keep-alive time, and a stop as well. Errors of the library itself (unknown path, oversized body) had no body. An instance without configuration answered 401 to valid tokens. Bodies of strangers were parsed before their token was checked.

Change: a bounded pool that grows to four times http_threads; idle connections are closed after 5 s; every error has the body {"error":{"status","code","text"}}; 503 "starting" until ready; the token is checked before the body.

The starvation before the change was read from the code, not measured.

Conclusion: beyond four times http_threads silent connections, new ones still wait up to 5 s. A sender that trickles bytes is not cut. The frontend case guards only against starvation without end; the growth itself is guarded by the pool's case.

--- /dev/null
+++ b/src/libruntime/connection_pool.cpp
@@ -0,0 +1,55 @@
+#include "connection_pool.hpp"
+
+#include <utility>
+
+namespace jujubedrum
+{
+
+void connection_pool::enqueue(std::function<void()> connection)
+{
+    const std::lock_guard lock(this->mutex);
+    this->waiting.push_back(std::move(connection));
+    // An idle thread that was notified but does not run yet still counts as
+    // idle, so the comparison is with every waiting connection.
+    if (this->idle < this->waiting.size() && this->threads.size() < this->most)
+    {
+        this->threads.emplace_back([this] { this->run(); });
+    }
+    this->changed.notify_one();
+}
+
+void connection_pool::shutdown()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->closed = true;
+        this->changed.notify_all();
+    }
+    for (std::thread& thread : this->threads)
+    {
+        thread.join();
+    }
+}
+
+void connection_pool::run()
+{
+    std::unique_lock lock(this->mutex);
+    for (;;)
+    {
+        ++this->idle;
+        this->changed.wait(lock, [this]
+                           { return this->closed || !this->waiting.empty(); });
+        --this->idle;
+        if (this->waiting.empty())
+        {
+            return;
+        }
+        const std::function<void()> serve = std::move(this->waiting.front());
+        this->waiting.pop_front();
+        lock.unlock();
+        serve();
+        lock.lock();
+    }
+}
+
+} // namespace jujubedrum
--- a/src/libruntime/http_frontend.cpp
+++ b/src/libruntime/http_frontend.cpp
@@ -1,5 +1,6 @@
 #include "http_frontend.hpp"
 
+#include "connection_pool.hpp"
 #include "logging.hpp"
 
 #include <algorithm>
@@ -22,7 +23,14 @@
 /// instance that issued the caller's ids.
 constexpr std::size_t max_keep_alive = 1'000'000;
 
-constexpr seconds keep_alive_timeout{30};
+/// Time an idle connection is kept. An idle connection occupies a thread and
+/// delays the stop by up to this time; 30 s let a few silent callers hold both
+/// up.
+constexpr seconds keep_alive_timeout{5};
+
+/// Threads for each configured one, so that as many idle connections as there
+/// are configured threads leave room for new ones.
+constexpr std::size_t thread_growth = 4;
 
 /// Time a slow sender gets for the next part of its request.
 constexpr seconds read_timeout{5};
@@ -122,13 +130,15 @@
 {
     const std::size_t threads = this->config.http_threads();
     this->server.new_task_queue = [threads]
-    { return new httplib::ThreadPool(threads); };
+    { return new connection_pool(threads * thread_growth); };
     this->server.set_tcp_nodelay(true);
     this->server.set_keep_alive_max_count(max_keep_alive);
     this->server.set_keep_alive_timeout(keep_alive_timeout.count());
     this->server.set_read_timeout(read_timeout);
     this->server.set_write_timeout(read_timeout);
     this->server.set_payload_max_length(max_body_bytes);
+    this->server.set_error_handler([this](const request&, response& res)
+                                   { this->complete_error(res); });
     this->server.set_post_routing_handler(
         [this](const request&, response& res)
         {
@@ -179,9 +189,8 @@
 void http_frontend::post_ids(const request& req, response& res)
 {
     const request_counter counted(this->requests);
-    if (!team_of(this->host.config(), bearer_token(req)))
+    if (!this->find_team(req, res))
     {
-        this->write_error(res, 401, "unknown_token", "the token is unknown");
         return;
     }
     const auto body = nlohmann::json::parse(req.body, nullptr, false);
@@ -211,6 +220,11 @@
 void http_frontend::post_job(const request& req, response& res)
 {
     const request_counter counted(this->requests);
+    // Before the body is parsed, so that strangers cannot occupy the parser.
+    if (!this->find_team(req, res))
+    {
+        return;
+    }
     request_context context{
         this->host.config(), bearer_token(req), req.body, {}, microseconds(0)};
     if (const auto refused = this->submission_filters.apply(context))
@@ -219,13 +233,6 @@
         return;
     }
     const std::string id = context.job->id();
-    if (!this->host.ready())
-    {
-        this->write(res, api_reply(id, outcome::not_run(
-                                           outcome_reason::overloaded,
-                                           "the instance is starting", true)));
-        return;
-    }
     const auto left =
         std::chrono::duration_cast<milliseconds>(context.remaining);
     const milliseconds wait =
@@ -261,10 +268,9 @@
                               milliseconds wait)
 {
     const request_counter counted(this->requests);
-    const auto team = team_of(this->host.config(), bearer_token(req));
+    const auto team = this->find_team(req, res);
     if (!team)
     {
-        this->write_error(res, 401, "unknown_token", "the token is unknown");
         return;
     }
     const std::string id = req.matches[1];
@@ -282,6 +288,33 @@
     this->write(res, api_reply(id, outcome::in_progress()));
 }
 
+std::optional<std::string> http_frontend::find_team(const request& req,
+                                                    response& res) const
+{
+    // Without the configuration every token is unknown, which a caller would
+    // take for a revoked one.
+    if (!this->host.ready())
+    {
+        this->write_error(res, 503, "starting",
+                          "the instance is starting; try again");
+        return std::nullopt;
+    }
+    const std::string token = bearer_token(req);
+    if (token.empty())
+    {
+        this->write_error(
+            res, 401, "no_token",
+            "send the team's token as Authorization: Bearer TOKEN");
+        return std::nullopt;
+    }
+    auto team = team_of(this->host.config(), token);
+    if (!team)
+    {
+        this->write_error(res, 401, "unknown_token", "the token is unknown");
+    }
+    return team;
+}
+
 template <typename Event>
 std::optional<engine_reply> http_frontend::ask(Event next, milliseconds wait,
                                                bool& full)
@@ -312,6 +345,30 @@
     res.set_content(body, "application/json");
 }
 
+void http_frontend::complete_error(response& res) const
+{
+    if (!res.body.empty())
+    {
+        return;
+    }
+    switch (res.status)
+    {
+    case 404:
+        this->write_error(res, 404, "unknown_route",
+                          "no such path, or not with this method");
+        return;
+    case 413:
+        this->write_error(res, 413, "too_large", "the body exceeds 8 MiB");
+        return;
+    case 500:
+        this->write_error(res, 500, "internal", "the request failed");
+        return;
+    default:
+        this->write_error(res, res.status, "bad_request",
+                          "the request is not valid HTTP/1.1");
+    }
+}
+
 void http_frontend::write_error(response& res, int status,
                                 const std::string& code,
                                 const std::string& text) const
--- a/src/libruntime/http_frontend.hpp
+++ b/src/libruntime/http_frontend.hpp
@@ -48,12 +48,18 @@
     void delete_job(const request& req, response& res);
     template <typename Event>
     void about_job(const request& req, response& res, milliseconds wait);
+    /// Returns the team of the token. Writes an error and returns nothing if
+    /// there is none, or if the instance is not ready yet.
+    std::optional<std::string> find_team(const request& req,
+                                         response& res) const;
     /// Hands an event to the engine and waits for the reply. Returns nothing
     /// after the wait.
     template <typename Event>
     std::optional<engine_reply> ask(Event next, milliseconds wait, bool& full);
     void write(response& res, const api_reply& reply) const;
     void write_json(response& res, int status, const std::string& body) const;
+    /// Gives an error of the HTTP library the common body.
+    void complete_error(response& res) const;
     void write_error(response& res, int status, const std::string& code,
                      const std::string& text) const;
 
--- /dev/null
+++ b/tests/unit/http_frontend_test.cpp
@@ -0,0 +1,306 @@
+#include "base/hash.hpp"
+#include "config/config_edit.hpp"
+#include "connection_pool.hpp"
+#include "engine_host.hpp"
+#include "http_frontend.hpp"
+
+#include <array>
+#include <future>
+#include <thread>
+
+#include <arpa/inet.h>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace jujubedrum;
+using nlohmann::json;
+
+namespace
+{
+
+/// Bound on every wait; far above any time seen, so that it decides nothing.
+constexpr seconds time_limit{60};
+
+/// Serves a fixed configuration stream and an empty list of instances.
+class fake_platform
+{
+public:
+    explicit fake_platform(std::vector<std::string> records)
+        : stream(std::move(records))
+    {
+        this->server.Get(
+            "/v1/streams/([^/]+)/records", [this](const auto& req, auto& res)
+            { res.set_content(this->page(req), "application/json"); });
+        this->server.Get("/v1/instances",
+                         [](const auto&, auto& res)
+                         {
+                             res.set_content(
+                                 R"({"version":1,"full":true,"changes":[]})",
+                                 "application/json");
+                         });
+        this->port = this->server.bind_to_any_port("127.0.0.1");
+        this->thread =
+            std::thread([this] { this->server.listen_after_bind(); });
+    }
+    ~fake_platform()
+    {
+        this->server.stop();
+        this->thread.join();
+    }
+
+    int port = 0;
+
+private:
+    std::string page(const httplib::Request& req) const
+    {
+        json records = json::array();
+        const std::size_t from = std::stoul(req.get_param_value("from"));
+        const std::size_t end =
+            req.matches[1] == "config" ? this->stream.size() : 0;
+        for (std::size_t i = from; i < end; ++i)
+        {
+            records.push_back({{"offset", i}, {"data", this->stream[i]}});
+        }
+        if (records.empty())
+        {
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+        return json{{"first_retained", 0}, {"next", end}, {"records", records}}
+            .dump();
+    }
+
+    std::vector<std::string> stream;
+    httplib::Server server;
+    std::thread thread;
+};
+
+class no_peers : public peer_transport
+{
+public:
+    void call(peer_address, peer_request,
+              std::function<void(peer_reply)> done) override
+    {
+        done(peer_failure{});
+    }
+};
+
+std::string team_record(const key_pair& key, const std::string& team)
+{
+    config_reason why;
+    const std::string body =
+        json{{"caller_token_sha256", {sha256_hex(team + "-token")}}}.dump();
+    return config_edit::create(*section_name::parse("teams/" + team), "admin",
+                               0, "edit-" + team, body, why)
+        ->sign(key)
+        .to_record();
+}
+
+settings make_settings(const key_pair& key, int platform_port)
+{
+    config_reason why;
+    return *settings::load(
+        json{{"instance", "e1"},
+             {"domain", "d1"},
+             {"region", "r1"},
+             {"platform", {{"address", "127.0.0.1"}, {"port", platform_port}}},
+             {"admin_public_key", key.public_key()},
+             {"sender_threads", 1},
+             {"http_threads", 4}}
+            .dump(),
+        why);
+}
+
+/// An entry instance without backend servers, and two teams.
+struct frontend_fixture
+{
+    frontend_fixture()
+    {
+        this->host.start(this->peers);
+        this->port = this->frontend.start().value_or(0);
+        const auto limit = std::chrono::steady_clock::now() + time_limit;
+        while (!this->host.ready() && std::chrono::steady_clock::now() < limit)
+        {
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+        BOOST_REQUIRE(this->host.ready());
+    }
+    ~frontend_fixture()
+    {
+        this->frontend.stop();
+        this->host.stop();
+    }
+
+    httplib::Result post(const std::string& token, const std::string& body,
+                         const std::string& path = "/v1/jobs") const
+    {
+        return this->client().Post(path, headers(token), body,
+                                   "application/json");
+    }
+    httplib::Result get(const std::string& token, const std::string& path) const
+    {
+        return this->client().Get(path, headers(token));
+    }
+    int connect() const
+    {
+        const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in to{};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(static_cast<std::uint16_t>(this->port));
+        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        BOOST_REQUIRE(
+            ::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof(to)) == 0);
+        return fd;
+    }
+
+    static httplib::Headers headers(const std::string& token)
+    {
+        return token.empty()
+                   ? httplib::Headers{}
+                   : httplib::Headers{{"Authorization", "Bearer " + token}};
+    }
+    httplib::Client client() const
+    {
+        httplib::Client made("127.0.0.1", this->port);
+        made.set_read_timeout(time_limit);
+        return made;
+    }
+
+    const std::string job =
+        R"({"team":"rake","tasks":[{"kind":"trip","payload":1}]})";
+    config_reason why;
+    key_pair key = *key_pair::generate(this->why);
+    fake_platform platform{
+        {team_record(this->key, "rake"), team_record(this->key, "orders")}};
+    settings values = make_settings(this->key, this->platform.port);
+    metrics_registry metrics;
+    no_peers peers;
+    engine_host host{this->values, 7, this->metrics};
+    http_frontend frontend{this->values, this->host, this->metrics};
+    int port = 0;
+};
+
+/// Checks the status, and the code in the common error body.
+void check_error(const httplib::Result& result, int status,
+                 const std::string& code)
+{
+    BOOST_REQUIRE(result);
+    BOOST_TEST(result->status == status);
+    const json body = json::parse(result->body, nullptr, false);
+    BOOST_REQUIRE(body.contains("error"));
+    BOOST_TEST(body["error"].value("status", 0) == status);
+    BOOST_TEST(body["error"].value("code", "") == code);
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(http_frontend_suite, frontend_fixture)
+
+// Guards against jobs accepted without a key of their team.
+BOOST_AUTO_TEST_CASE(job_without_key_of_team_is_refused)
+{
+    check_error(this->post("", this->job), 401, "no_token");
+    check_error(this->post("wrong", this->job), 401, "unknown_token");
+    check_error(this->post("orders-token", this->job), 403, "wrong_team");
+    check_error(this->post("", "{}", "/v1/ids"), 401, "no_token");
+}
+
+// Guards against bodies that use unbounded memory.
+BOOST_AUTO_TEST_CASE(body_over_limit_is_refused)
+{
+    check_error(this->post("rake-token", std::string(9 << 20, ' ')), 413,
+                "too_large");
+}
+
+// Guards against errors that do not tell the place of the fault.
+BOOST_AUTO_TEST_CASE(malformed_job_names_json_pointer)
+{
+    const auto result =
+        this->post("rake-token", R"({"team":"rake","tasks":[{"kind":7}]})");
+    check_error(result, 400, "malformed");
+    BOOST_TEST(result->body.find("/tasks/0") != std::string::npos);
+    check_error(this->post("rake-token", "{"), 400, "malformed");
+}
+
+// Guards against errors of the HTTP library with another body or none.
+BOOST_AUTO_TEST_CASE(unknown_path_has_common_error_body)
+{
+    check_error(this->get("", "/v2"), 404, "unknown_route");
+    check_error(this->get("", "/v1/jobs"), 404, "unknown_route");
+}
+
+// Guards against a team that reads another team's outcomes.
+BOOST_AUTO_TEST_CASE(job_of_other_team_is_not_found)
+{
+    const auto result = this->post("rake-token", this->job);
+    BOOST_REQUIRE(result);
+    const std::string path =
+        "/v1/jobs/" + json::parse(result->body).value("id", "");
+    const auto own = this->get("rake-token", path);
+    BOOST_REQUIRE(own);
+    BOOST_TEST(json::parse(own->body).value("outcome", "") == "not_run");
+    const auto other = this->get("orders-token", path);
+    BOOST_REQUIRE(other);
+    BOOST_TEST(other->status == 404);
+}
+
+// Guards against connections that occupy every thread, either silent or in
+// the middle of a request, and against half a request that is never cut.
+BOOST_AUTO_TEST_CASE(idle_and_slow_connections_leave_room_for_requests)
+{
+    std::array<int, 4> silent{};
+    for (int& fd : silent)
+    {
+        fd = this->connect();
+    }
+    const int slow = this->connect();
+    const std::string half = "POST /v1/jobs HTTP/1.1\r\nContent-Length: 100\r\n"
+                             "\r\n{\"team\"";
+    BOOST_REQUIRE(::send(slow, half.data(), half.size(), 0) ==
+                  static_cast<ssize_t>(half.size()));
+    const auto served = this->get("", "/healthz");
+    BOOST_REQUIRE(served);
+    BOOST_TEST(served->status == 200);
+
+    timeval bound{time_limit.count(), 0};
+    ::setsockopt(slow, SOL_SOCKET, SO_RCVTIMEO, &bound, sizeof(bound));
+    std::array<char, 4096> buffer{};
+    ssize_t got = 1;
+    while (got > 0)
+    {
+        got = ::recv(slow, buffer.data(), buffer.size(), 0);
+    }
+    BOOST_TEST((got == 0 || errno == ECONNRESET));
+    ::close(slow);
+    for (const int fd : silent)
+    {
+        ::close(fd);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(connection_pool_suite)
+
+// Guards against a pool in which connections that wait starve later ones.
+BOOST_AUTO_TEST_CASE(enqueue_while_all_threads_wait_starts_another)
+{
+    connection_pool pool(5);
+    std::promise<void> release;
+    const auto released = release.get_future().share();
+    for (int i = 0; i < 4; ++i)
+    {
+        pool.enqueue([released] { released.wait(); });
+    }
+    pool.enqueue([&release] { release.set_value(); });
+    const auto result = released.wait_for(time_limit);
+    if (result != std::future_status::ready)
+    {
+        release.set_value();
+    }
+    pool.shutdown();
+    BOOST_TEST((result == std::future_status::ready));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
