Require a token for the operators' paths

Cause: anyone who reached the HTTP port could read the state dump, with the names and quotas of every team, and the metrics.

Change: /v1/admin/status, /v1/admin/dump and /metrics need an operator's token, whose digest is in the settings field operator_token_sha256, or a team's token, which shows only that team's part of the dump. Without such digests they are served on loopback only, without a token too. /healthz and /readyz stay open.

Conclusion: behind a proxy on the same machine, list an operator's token, since every request then comes from loopback.

--- a/src/libjujubedrum/config/schemas.cpp
+++ b/src/libjujubedrum/config/schemas.cpp
@@ -99,6 +99,11 @@
       }
     },
     "admin_public_key": {"type": "string", "pattern": "^[0-9a-f]{64}$"},
+    "operator_token_sha256": {
+      "type": "array",
+      "maxItems": 64,
+      "items": {"type": "string", "pattern": "^[0-9a-f]{64}$"}
+    },
     "log_level":
       {"type": "string", "enum": ["debug", "info", "warning", "error"]},
     "policy": {
--- a/src/libjujubedrum/config/settings.cpp
+++ b/src/libjujubedrum/config/settings.cpp
@@ -95,6 +95,8 @@
     read_field(platform, "address", loaded.platform_address_value);
     read_field(platform, "port", loaded.platform_port_value);
     read_field(*object, "admin_public_key", loaded.admin_public_key_value);
+    read_field(*object, "operator_token_sha256",
+               loaded.operator_token_sha256_value);
     read_field(*object, "log_level", loaded.log_level_value);
     loaded.policy_value = parse_policy(object->value("policy", ""));
     read_field(*object, "sender_threads", loaded.sender_threads_value);
--- a/src/libjujubedrum/config/settings.hpp
+++ b/src/libjujubedrum/config/settings.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace jujubedrum
 {
@@ -81,6 +82,12 @@
     {
         return this->admin_public_key_value;
     }
+    /// Returns the SHA-256 digests of the operators' tokens, in hex. While it
+    /// is empty, operators are served on loopback only.
+    [[nodiscard]] const std::vector<std::string>& operator_token_sha256() const
+    {
+        return this->operator_token_sha256_value;
+    }
     /// Returns the log level: debug, info, warning or error.
     [[nodiscard]] const std::string& log_level() const
     {
@@ -122,6 +129,7 @@
     std::string platform_address_value;
     std::uint16_t platform_port_value = 0;
     std::string admin_public_key_value;
+    std::vector<std::string> operator_token_sha256_value;
     std::string log_level_value = "info";
     policy_name policy_value = policy_name::owned_slots;
     std::uint32_t sender_threads_value = 64;
--- a/src/libruntime/http_frontend.cpp
+++ b/src/libruntime/http_frontend.cpp
@@ -1,5 +1,6 @@
 #include "http_frontend.hpp"
 
+#include "base/hash.hpp"
 #include "connection_pool.hpp"
 #include "logging.hpp"
 
@@ -8,6 +9,7 @@
 #include <utility>
 
 #include <nlohmann/json.hpp>
+#include <openssl/crypto.h>
 
 namespace jujubedrum
 {
@@ -60,6 +62,48 @@
     return std::min(milliseconds(std::stol(text)), max_wait);
 }
 
+bool is_loopback(const std::string& address)
+{
+    return address.starts_with("127.") || address == "::1" ||
+           address.starts_with("::ffff:127.");
+}
+
+bool holds_digest(const std::vector<std::string>& digests,
+                  const std::string& token)
+{
+    // Compared in constant time, so that the time tells nothing of a digest.
+    const std::string digest = sha256_hex(token);
+    return std::any_of(digests.begin(), digests.end(),
+                       [&digest](const std::string& known)
+                       {
+                           return known.size() == digest.size() &&
+                                  CRYPTO_memcmp(known.data(), digest.data(),
+                                                digest.size()) == 0;
+                       });
+}
+
+/// Returns what a team may see of a state dump.
+std::string part_of_team(const std::string& dump, const std::string& team)
+{
+    const auto whole = nlohmann::json::parse(dump, nullptr, false);
+    if (!whole.is_object() || whole.contains("error"))
+    {
+        return dump;
+    }
+    nlohmann::json part = {{"teams", nlohmann::json::object()}};
+    for (const char* key : {"instance", "domain", "incarnation", "ready",
+                            "draining", "revision", "time_us"})
+    {
+        part[key] = whole.value(key, nlohmann::json());
+    }
+    const auto teams = whole.value("teams", nlohmann::json::object());
+    if (teams.contains(team))
+    {
+        part["teams"][team] = teams[team];
+    }
+    return part.dump();
+}
+
 /// Counts a request while it is served.
 class request_counter
 {
@@ -165,15 +209,13 @@
 
 void http_frontend::add_admin_routes()
 {
-    this->server.Get("/v1/admin/status", [this](const request&, response& res)
-                     { this->write_json(res, 200, this->host.status()); });
-    this->server.Get("/v1/admin/dump", [this](const request&, response& res)
-                     { this->write_json(res, 200, this->host.dump()); });
-    this->server.Get("/metrics",
-                     [this](const request&, response& res) {
-                         res.set_content(this->metrics.text(),
-                                         "text/plain; version=0.0.4");
-                     });
+    this->server.Get("/v1/admin/status",
+                     [this](const request& req, response& res)
+                     { this->get_status(req, res); });
+    this->server.Get("/v1/admin/dump", [this](const request& req, response& res)
+                     { this->get_dump(req, res); });
+    this->server.Get("/metrics", [this](const request& req, response& res)
+                     { this->get_metrics(req, res); });
     this->server.Get("/healthz", [](const request&, response& res)
                      { res.set_content("ok\n", "text/plain"); });
     this->server.Get(
@@ -315,6 +357,68 @@
     return team;
 }
 
+std::optional<std::string> http_frontend::find_reader(const request& req,
+                                                      response& res) const
+{
+    const auto& operators = this->config.operator_token_sha256();
+    const std::string token = bearer_token(req);
+    if (operators.empty() && !is_loopback(req.remote_addr))
+    {
+        this->write_error(res, 403, "loopback_only",
+                          "without operator_token_sha256 in the settings, this "
+                          "path is served on loopback only");
+        return std::nullopt;
+    }
+    if (token.empty())
+    {
+        if (operators.empty())
+        {
+            return std::string();
+        }
+        this->write_error(res, 401, "no_token",
+                          "send an operator's or a team's token as "
+                          "Authorization: Bearer TOKEN");
+        return std::nullopt;
+    }
+    if (holds_digest(operators, token))
+    {
+        return std::string();
+    }
+    auto team = team_of(this->host.config(), token);
+    if (!team)
+    {
+        this->write_error(res, 401, "unknown_token", "the token is unknown");
+    }
+    return team;
+}
+
+void http_frontend::get_status(const request& req, response& res)
+{
+    if (this->find_reader(req, res))
+    {
+        this->write_report(res, this->host.status());
+    }
+}
+
+void http_frontend::get_dump(const request& req, response& res)
+{
+    const auto reader = this->find_reader(req, res);
+    if (reader)
+    {
+        const std::string dump = this->host.dump();
+        this->write_report(res, reader->empty() ? dump
+                                                : part_of_team(dump, *reader));
+    }
+}
+
+void http_frontend::get_metrics(const request& req, response& res) const
+{
+    if (this->find_reader(req, res))
+    {
+        res.set_content(this->metrics.text(), "text/plain; version=0.0.4");
+    }
+}
+
 template <typename Event>
 std::optional<engine_reply> http_frontend::ask(Event next, milliseconds wait,
                                                bool& full)
@@ -345,6 +449,13 @@
     res.set_content(body, "application/json");
 }
 
+void http_frontend::write_report(response& res, const std::string& report) const
+{
+    const auto fault = api_reply::parse(report);
+    const bool failed = fault && fault->error() != nullptr;
+    this->write_json(res, failed ? fault->status() : 200, report);
+}
+
 void http_frontend::complete_error(response& res) const
 {
     if (!res.body.empty())
--- a/src/libruntime/http_frontend.hpp
+++ b/src/libruntime/http_frontend.hpp
@@ -52,12 +52,21 @@
     /// there is none, or if the instance is not ready yet.
     std::optional<std::string> find_team(const request& req,
                                          response& res) const;
+    /// Returns whose part of the state the request may read: a team, or the
+    /// empty string for all. Writes an error and returns nothing if none.
+    std::optional<std::string> find_reader(const request& req,
+                                           response& res) const;
+    void get_dump(const request& req, response& res);
+    void get_status(const request& req, response& res);
+    void get_metrics(const request& req, response& res) const;
     /// Hands an event to the engine and waits for the reply. Returns nothing
     /// after the wait.
     template <typename Event>
     std::optional<engine_reply> ask(Event next, milliseconds wait, bool& full);
     void write(response& res, const api_reply& reply) const;
     void write_json(response& res, int status, const std::string& body) const;
+    /// Writes a report of the engine, which may be an error body.
+    void write_report(response& res, const std::string& report) const;
     /// Gives an error of the HTTP library the common body.
     void complete_error(response& res) const;
     void write_error(response& res, int status, const std::string& code,
--- a/tests/unit/http_frontend_test.cpp
+++ b/tests/unit/http_frontend_test.cpp
@@ -97,7 +97,8 @@
         .to_record();
 }
 
-settings make_settings(const key_pair& key, int platform_port)
+settings make_settings(const key_pair& key, int platform_port,
+                       const std::vector<std::string>& operators = {})
 {
     config_reason why;
     return *settings::load(
@@ -106,6 +107,7 @@
              {"region", "r1"},
              {"platform", {{"address", "127.0.0.1"}, {"port", platform_port}}},
              {"admin_public_key", key.public_key()},
+             {"operator_token_sha256", operators},
              {"sender_threads", 1},
              {"http_threads", 4}}
             .dump(),
@@ -115,7 +117,8 @@
 /// An entry instance without backend servers, and two teams.
 struct frontend_fixture
 {
-    frontend_fixture()
+    explicit frontend_fixture(const std::vector<std::string>& operators = {})
+        : values(make_settings(this->key, this->platform.port, operators))
     {
         this->host.start(this->peers);
         this->port = this->frontend.start().value_or(0);
@@ -173,7 +176,7 @@
     key_pair key = *key_pair::generate(this->why);
     fake_platform platform{
         {team_record(this->key, "rake"), team_record(this->key, "orders")}};
-    settings values = make_settings(this->key, this->platform.port);
+    settings values;
     metrics_registry metrics;
     no_peers peers;
     engine_host host{this->values, 7, this->metrics};
@@ -181,6 +184,15 @@
     int port = 0;
 };
 
+/// The same with an operator's token in the settings.
+struct operator_fixture : frontend_fixture
+{
+    operator_fixture()
+        : frontend_fixture({sha256_hex("operator-token")})
+    {
+    }
+};
+
 /// Checks the status, and the code in the common error body.
 void check_error(const httplib::Result& result, int status,
                  const std::string& code)
@@ -279,6 +291,33 @@
     }
 }
 
+// Guards against operators' paths open to strangers.
+BOOST_FIXTURE_TEST_CASE(operator_path_without_known_token_is_refused,
+                        operator_fixture)
+{
+    for (const char* path : {"/v1/admin/status", "/v1/admin/dump", "/metrics"})
+    {
+        check_error(this->get("", path), 401, "no_token");
+        check_error(this->get("wrong", path), 401, "unknown_token");
+        const auto result = this->get("operator-token", path);
+        BOOST_REQUIRE(result);
+        BOOST_TEST(result->status == 200);
+    }
+}
+
+// Guards against a team that reads another team's state.
+BOOST_FIXTURE_TEST_CASE(dump_for_team_holds_only_its_part, operator_fixture)
+{
+    const auto whole = this->get("operator-token", "/v1/admin/dump");
+    const auto part = this->get("rake-token", "/v1/admin/dump");
+    BOOST_REQUIRE((whole && part));
+    BOOST_TEST(json::parse(whole->body)["teams"].size() == 2U);
+    const json shown = json::parse(part->body);
+    BOOST_TEST(shown["teams"].contains("rake"));
+    BOOST_TEST(shown["teams"].size() == 1U);
+    BOOST_TEST(!shown.contains("servers"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(connection_pool_suite)
