--- a/src/libruntime/http_frontend.cpp
+++ b/src/libruntime/http_frontend.cpp
@@ -1,5 +1,7 @@
 #include "http_frontend.hpp"
 
+#include "base/hash.hpp"
+#include "connection_pool.hpp"
 #include "logging.hpp"
 
 #include <algorithm>
@@ -7,6 +9,7 @@
 #include <utility>
 
 #include <nlohmann/json.hpp>
+#include <openssl/crypto.h>
 
 namespace jujubedrum
 {
@@ -22,7 +25,14 @@
 /// instance that issued the caller's ids.
 constexpr std::size_t max_keep_alive = 1'000'000;
 
-constexpr seconds keep_alive_timeout{30};
+/// Time an idle connection is kept. An idle connection occupies a thread and
+/// delays the stop by up to this time; 30 s let a few silent callers hold both
+/// up.
+constexpr seconds keep_alive_timeout{5};
+
+/// Threads for each configured one, so that as many idle connections as there
+/// are configured threads leave room for new ones.
+constexpr std::size_t thread_growth = 4;
 
 /// Time a slow sender gets for the next part of its request.
 constexpr seconds read_timeout{5};
@@ -52,6 +62,48 @@
     return std::min(milliseconds(std::stol(text)), max_wait);
 }
 
+bool is_loopback(const std::string& address)
+{
+    return address.starts_with("127.") || address == "::1" ||
+           address.starts_with("::ffff:127.");
+}
+
+bool holds_digest(const std::vector<std::string>& digests,
+                  const std::string& token)
+{
+    // Compared in constant time, so that the time tells nothing of a digest.
+    const std::string digest = sha256_hex(token);
+    return std::any_of(digests.begin(), digests.end(),
+                       [&digest](const std::string& known)
+                       {
+                           return known.size() == digest.size() &&
+                                  CRYPTO_memcmp(known.data(), digest.data(),
+                                                digest.size()) == 0;
+                       });
+}
+
+/// Returns what a team may see of a state dump.
+std::string part_of_team(const std::string& dump, const std::string& team)
+{
+    const auto whole = nlohmann::json::parse(dump, nullptr, false);
+    if (!whole.is_object() || whole.contains("error"))
+    {
+        return dump;
+    }
+    nlohmann::json part = {{"teams", nlohmann::json::object()}};
+    for (const char* key : {"instance", "domain", "incarnation", "ready",
+                            "draining", "revision", "time_us"})
+    {
+        part[key] = whole.value(key, nlohmann::json());
+    }
+    const auto teams = whole.value("teams", nlohmann::json::object());
+    if (teams.contains(team))
+    {
+        part["teams"][team] = teams[team];
+    }
+    return part.dump();
+}
+
 /// Counts a request while it is served.
 class request_counter
 {
@@ -122,13 +174,15 @@
 {
     const std::size_t threads = this->config.http_threads();
     this->server.new_task_queue = [threads]
-    { return new httplib::ThreadPool(threads); };
+    { return new connection_pool(threads * thread_growth); };
     this->server.set_tcp_nodelay(true);
     this->server.set_keep_alive_max_count(max_keep_alive);
     this->server.set_keep_alive_timeout(keep_alive_timeout.count());
     this->server.set_read_timeout(read_timeout);
     this->server.set_write_timeout(read_timeout);
     this->server.set_payload_max_length(max_body_bytes);
+    this->server.set_error_handler([this](const request&, response& res)
+                                   { this->complete_error(res); });
     this->server.set_post_routing_handler(
         [this](const request&, response& res)
         {
@@ -155,15 +209,13 @@
 
 void http_frontend::add_admin_routes()
 {
-    this->server.Get("/v1/admin/status", [this](const request&, response& res)
-                     { this->write_json(res, 200, this->host.status()); });
-    this->server.Get("/v1/admin/dump", [this](const request&, response& res)
-                     { this->write_json(res, 200, this->host.dump()); });
-    this->server.Get("/metrics",
-                     [this](const request&, response& res) {
-                         res.set_content(this->metrics.text(),
-                                         "text/plain; version=0.0.4");
-                     });
+    this->server.Get("/v1/admin/status",
+                     [this](const request& req, response& res)
+                     { this->get_status(req, res); });
+    this->server.Get("/v1/admin/dump", [this](const request& req, response& res)
+                     { this->get_dump(req, res); });
+    this->server.Get("/metrics", [this](const request& req, response& res)
+                     { this->get_metrics(req, res); });
     this->server.Get("/healthz", [](const request&, response& res)
                      { res.set_content("ok\n", "text/plain"); });
     this->server.Get(
@@ -179,9 +231,8 @@
 void http_frontend::post_ids(const request& req, response& res)
 {
     const request_counter counted(this->requests);
-    if (!team_of(this->host.config(), bearer_token(req)))
+    if (!this->find_team(req, res))
     {
-        this->write_error(res, 401, "unknown_token", "the token is unknown");
         return;
     }
     const auto body = nlohmann::json::parse(req.body, nullptr, false);
@@ -211,6 +262,11 @@
 void http_frontend::post_job(const request& req, response& res)
 {
     const request_counter counted(this->requests);
+    // Before the body is parsed, so that strangers cannot occupy the parser.
+    if (!this->find_team(req, res))
+    {
+        return;
+    }
     request_context context{
         this->host.config(), bearer_token(req), req.body, {}, microseconds(0)};
     if (const auto refused = this->submission_filters.apply(context))
@@ -219,13 +275,6 @@
         return;
     }
     const std::string id = context.job->id();
-    if (!this->host.ready())
-    {
-        this->write(res, api_reply(id, outcome::not_run(
-                                           outcome_reason::overloaded,
-                                           "the instance is starting", true)));
-        return;
-    }
     const auto left =
         std::chrono::duration_cast<milliseconds>(context.remaining);
     const milliseconds wait =
@@ -261,10 +310,9 @@
                               milliseconds wait)
 {
     const request_counter counted(this->requests);
-    const auto team = team_of(this->host.config(), bearer_token(req));
+    const auto team = this->find_team(req, res);
     if (!team)
     {
-        this->write_error(res, 401, "unknown_token", "the token is unknown");
         return;
     }
     const std::string id = req.matches[1];
@@ -282,6 +330,95 @@
     this->write(res, api_reply(id, outcome::in_progress()));
 }
 
+std::optional<std::string> http_frontend::find_team(const request& req,
+                                                    response& res) const
+{
+    // Without the configuration every token is unknown, which a caller would
+    // take for a revoked one.
+    if (!this->host.ready())
+    {
+        this->write_error(res, 503, "starting",
+                          "the instance is starting; try again");
+        return std::nullopt;
+    }
+    const std::string token = bearer_token(req);
+    if (token.empty())
+    {
+        this->write_error(
+            res, 401, "no_token",
+            "send the team's token as Authorization: Bearer TOKEN");
+        return std::nullopt;
+    }
+    auto team = team_of(this->host.config(), token);
+    if (!team)
+    {
+        this->write_error(res, 401, "unknown_token", "the token is unknown");
+    }
+    return team;
+}
+
+std::optional<std::string> http_frontend::find_reader(const request& req,
+                                                      response& res) const
+{
+    const auto& operators = this->config.operator_token_sha256();
+    const std::string token = bearer_token(req);
+    if (operators.empty() && !is_loopback(req.remote_addr))
+    {
+        this->write_error(res, 403, "loopback_only",
+                          "without operator_token_sha256 in the settings, this "
+                          "path is served on loopback only");
+        return std::nullopt;
+    }
+    if (token.empty())
+    {
+        if (operators.empty())
+        {
+            return std::string();
+        }
+        this->write_error(res, 401, "no_token",
+                          "send an operator's or a team's token as "
+                          "Authorization: Bearer TOKEN");
+        return std::nullopt;
+    }
+    if (holds_digest(operators, token))
+    {
+        return std::string();
+    }
+    auto team = team_of(this->host.config(), token);
+    if (!team)
+    {
+        this->write_error(res, 401, "unknown_token", "the token is unknown");
+    }
+    return team;
+}
+
+void http_frontend::get_status(const request& req, response& res)
+{
+    if (this->find_reader(req, res))
+    {
+        this->write_report(res, this->host.status());
+    }
+}
+
+void http_frontend::get_dump(const request& req, response& res)
+{
+    const auto reader = this->find_reader(req, res);
+    if (reader)
+    {
+        const std::string dump = this->host.dump();
+        this->write_report(res, reader->empty() ? dump
+                                                : part_of_team(dump, *reader));
+    }
+}
+
+void http_frontend::get_metrics(const request& req, response& res) const
+{
+    if (this->find_reader(req, res))
+    {
+        res.set_content(this->metrics.text(), "text/plain; version=0.0.4");
+    }
+}
+
 template <typename Event>
 std::optional<engine_reply> http_frontend::ask(Event next, milliseconds wait,
                                                bool& full)
@@ -312,6 +449,37 @@
     res.set_content(body, "application/json");
 }
 
+void http_frontend::write_report(response& res, const std::string& report) const
+{
+    const auto fault = api_reply::parse(report);
+    const bool failed = fault && fault->error() != nullptr;
+    this->write_json(res, failed ? fault->status() : 200, report);
+}
+
+void http_frontend::complete_error(response& res) const
+{
+    if (!res.body.empty())
+    {
+        return;
+    }
+    switch (res.status)
+    {
+    case 404:
+        this->write_error(res, 404, "unknown_route",
+                          "no such path, or not with this method");
+        return;
+    case 413:
+        this->write_error(res, 413, "too_large", "the body exceeds 8 MiB");
+        return;
+    case 500:
+        this->write_error(res, 500, "internal", "the request failed");
+        return;
+    default:
+        this->write_error(res, res.status, "bad_request",
+                          "the request is not valid HTTP/1.1");
+    }
+}
+
 void http_frontend::write_error(response& res, int status,
                                 const std::string& code,
                                 const std::string& text) const
