--- /dev/null
+++ b/src/jujubedrum-load/live_load.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "arrival_schedule.hpp"
+#include "base/bounded_ring.hpp"
+#include "latency_summary.hpp"
+#include "run_options.hpp"
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// Sends the jobs of a schedule to entry instances at their times of arrival.
+/// The response time of a job counts from its scheduled arrival, so that a
+/// late sender does not hide the delay it causes.
+class live_load
+{
+public:
+    live_load(const run_options& options, const arrival_schedule& schedule);
+
+    /// Sends every job and waits for the replies.
+    void run();
+
+    /// Returns the number of jobs by outcome.
+    [[nodiscard]] const std::map<std::string, std::size_t>& outcomes() const
+    {
+        return this->counts;
+    }
+    /// Returns response over ideal of the complete jobs.
+    [[nodiscard]] latency_summary all() const;
+    /// Returns the same for jobs of repeatable tasks.
+    [[nodiscard]] latency_summary repeatable() const;
+    /// Returns the time from the first arrival to the last reply.
+    [[nodiscard]] std::chrono::duration<double> elapsed() const
+    {
+        return this->duration;
+    }
+
+private:
+    using clock = std::chrono::steady_clock;
+
+    void send(std::size_t entry, std::size_t number);
+    void record(std::size_t job, const std::string& outcome);
+
+    const run_options& options;
+    const arrival_schedule& schedule;
+    std::vector<std::unique_ptr<bounded_ring<std::size_t>>> queues;
+    clock::time_point start;
+    std::chrono::duration<double> duration{};
+    std::mutex mutex;
+    std::map<std::string, std::size_t> counts;
+    std::vector<double> ratios;
+    std::vector<double> repeatable_ratios;
+};
+
+} // namespace jujubedrum
--- a/src/jujubedrum-load/main.cpp
+++ b/src/jujubedrum-load/main.cpp
@@ -1,4 +1,5 @@
 #include "model_command.hpp"
+#include "run_command.hpp"
 
 #include <iostream>
 #include <string_view>
@@ -9,6 +10,10 @@
     {
         return jujubedrum::run_model_command(argc - 1, argv + 1);
     }
-    std::cerr << "usage: jujubedrum-load model [options]\n";
+    if (argc > 1 && std::string_view(argv[1]) == "run")
+    {
+        return jujubedrum::run_run_command(argc - 1, argv + 1);
+    }
+    std::cerr << "usage: jujubedrum-load model|run [options]\n";
     return 2;
 }
--- /dev/null
+++ b/src/jujubedrum-load/run_command.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace jujubedrum
+{
+
+/// Runs the subcommand `run`: sends a load to running entry instances and
+/// prints outcomes, response times and wasted messages.
+/// \param argc,argv arguments from the subcommand on.
+/// \return the exit status: 0, or 2 if an argument is wrong.
+int run_run_command(int argc, char** argv);
+
+} // namespace jujubedrum
