Run one placement round for a batch of waiting events

Cause: perf shows placement as the largest cost of an entry instance at a high rate: owned_slots::select, suits and survey take 32 % of the samples, because each event runs a round over all servers and queued tasks.

Change: while further events wait in the ring, the round is left to the last of them, after at most 32 events. An idle ring behaves as before, so no task waits longer for its round.

Tests: unit_tests has one failure, relay_hub_suite/ refusing_relay_gives_no_reply_until_opened ("relay cannot bind"), in every run.

--- a/src/libjujubedrum/engine/dispatch_engine.cpp
+++ b/src/libjujubedrum/engine/dispatch_engine.cpp
@@ -112,8 +112,9 @@
 }
 
 std::vector<action> dispatch_engine::handle(event next, instant at,
-                                            wall_time wall_now)
+                                            wall_time wall_now, bool more)
 {
+    this->jobs.hold_rounds(more);
     this->now = at;
     this->wall = wall_now;
     if (this->started_at < instant(0))
@@ -125,6 +126,7 @@
     this->settle_claims();
     this->refresh_members();
     this->apply_document();
+    this->jobs.pump_held(this->now);
     this->borrow_slots();
     return this->out.take();
 }
--- a/src/libjujubedrum/engine/dispatch_engine.hpp
+++ b/src/libjujubedrum/engine/dispatch_engine.hpp
@@ -60,7 +60,10 @@
     dispatch_engine& operator=(const dispatch_engine&) = delete;
 
     /// Handles an event and returns what has to be done, in order.
-    std::vector<action> handle(event next, instant now, wall_time wall);
+    /// \param more whether another event is waiting. The placement round is
+    /// then left to that event, because a round costs far more than an event.
+    std::vector<action> handle(event next, instant now, wall_time wall,
+                               bool more = false);
 
     /// Returns whether the instance may take jobs: it holds a configuration
     /// not older than any that the platform or a reachable peer offered.
--- a/src/libjujubedrum/engine/job_controller.cpp
+++ b/src/libjujubedrum/engine/job_controller.cpp
@@ -126,8 +126,21 @@
     this->pump(now);
 }
 
+void job_controller::pump_held(instant now)
+{
+    if (this->round_due && !this->rounds_held)
+    {
+        this->pump(now);
+    }
+}
+
 void job_controller::pump(instant now)
 {
+    this->round_due = this->rounds_held;
+    if (this->rounds_held)
+    {
+        return;
+    }
     this->services.policy.begin_round(now);
     for (const team_task& next : this->queue.next(round_size))
     {
--- a/src/libjujubedrum/engine/job_controller.hpp
+++ b/src/libjujubedrum/engine/job_controller.hpp
@@ -75,6 +75,10 @@
     void tick(instant now);
     /// Gives free slots to queued tasks.
     void pump(instant now);
+    /// Sets whether rounds are put off until they are released.
+    void hold_rounds(bool held) { this->rounds_held = held; }
+    /// Runs the round that was put off, unless rounds are still held.
+    void pump_held(instant now);
     /// Ends every job of which nothing was sent, and queues nothing further of
     /// the others than they need to end.
     void drain(instant now);
@@ -152,6 +156,8 @@
     std::set<std::pair<instant, std::uint64_t>> deadlines;
     std::uint64_t last_job = 0;
     attempt_id last_attempt = 0;
+    bool rounds_held = false;
+    bool round_due = false;
 };
 
 } // namespace jujubedrum
--- a/src/libruntime/engine_host.cpp
+++ b/src/libruntime/engine_host.cpp
@@ -113,6 +113,7 @@
 void engine_host::run_engine()
 {
     instant next_tick = now();
+    std::size_t held = 0;
     while (!this->events.is_closed())
     {
         const instant at = now();
@@ -126,7 +127,8 @@
         auto next = this->events.pop(std::max(instant(0), next_tick - now()));
         if (next)
         {
-            this->step(std::move(*next));
+            held = this->events.size() > 0 && held < max_held ? held + 1 : 0;
+            this->step(std::move(*next), held > 0);
         }
     }
 }
@@ -153,9 +155,10 @@
     }
 }
 
-void engine_host::step(event next)
+void engine_host::step(event next, bool more)
 {
-    for (action& action : this->engine.handle(std::move(next), now(), wall()))
+    for (action& action :
+         this->engine.handle(std::move(next), now(), wall(), more))
     {
         this->carry_out(std::move(action));
     }
--- a/src/libruntime/engine_host.hpp
+++ b/src/libruntime/engine_host.hpp
@@ -67,13 +67,16 @@
     static constexpr microseconds tick_interval = milliseconds(10);
     static constexpr std::size_t event_capacity = 16'384;
     static constexpr std::size_t command_capacity = 8'192;
+    /// Events in a row that leave the placement round to the next one.
+    static constexpr std::size_t max_held = 32;
 
     using question = std::function<void(dispatch_engine&)>;
 
     void run_engine();
     void run_sender();
     void run_stopper();
-    void step(event next);
+    /// \param more whether another event follows at once.
+    void step(event next, bool more = false);
     void carry_out(action next);
     void answer_questions();
     void publish_state();
