--- a/src/libjujubedrum/engine/dispatch_engine.cpp
+++ b/src/libjujubedrum/engine/dispatch_engine.cpp
@@ -121,9 +121,10 @@
 }
 
 std::vector<action> dispatch_engine::handle(event next, instant at,
-                                            wall_time wall_now)
+                                            wall_time wall_now, bool more)
 {
     this->note_pause(at);
+    this->jobs.hold_rounds(more);
     this->now = at;
     this->wall = wall_now;
     if (this->started_at < instant(0))
@@ -136,6 +137,7 @@
     this->settle_claims();
     this->refresh_members();
     this->apply_document();
+    this->jobs.pump_held(this->now);
     this->borrow_slots();
     return this->out.take();
 }
@@ -1028,7 +1030,8 @@
         return;
     }
     this->metrics.on_message(message_cause::grant, 2);
-    this->call(*peer, planned->request, borrow_call{planned->lender, planned->request.sequence});
+    this->call(*peer, planned->request,
+               borrow_call{planned->lender, planned->request.sequence});
 }
 
 void dispatch_engine::return_slots()
--- a/src/libjujubedrum/engine/job_controller.cpp
+++ b/src/libjujubedrum/engine/job_controller.cpp
@@ -126,8 +126,21 @@
     this->pump(now);
 }
 
+void job_controller::pump_held(instant now)
+{
+    if (this->round_due && !this->rounds_held)
+    {
+        this->pump(now);
+    }
+}
+
 void job_controller::pump(instant now)
 {
+    this->round_due = this->rounds_held;
+    if (this->rounds_held)
+    {
+        return;
+    }
     // The first event after a pause is not always a tick.
     this->end_overdue_jobs(now);
     this->services.policy.begin_round(now);
