Count the outcomes that engine schedules reach

Cause: the summary did not show whether the schedules reach each outcome. Random draws within one argument list were ordered by the compiler.

Change: replies are counted by result, and the case requires each outcome to occur. One draw a statement.

With these draws, both broken rules are noticed.

--- a/tests/unit/engine_schedule_test.cpp
+++ b/tests/unit/engine_schedule_test.cpp
@@ -86,10 +86,14 @@
             return;
         }
         const std::string payload = this->chance(8) ? "\"poison\"" : "1";
-        const std::string body = this->bed.body(
-            id, 1 + this->random().below(12), this->chance(2),
-            static_cast<int>(10 + this->random().below(300)),
-            static_cast<int>(100 + this->random().below(4000)), payload);
+        // One draw a statement, since compilers order arguments differently.
+        const std::size_t tasks = 1 + this->random().below(12);
+        const bool repeatable = this->chance(2);
+        const int run_ms = static_cast<int>(10 + this->random().below(300));
+        const int deadline_ms =
+            static_cast<int>(100 + this->random().below(4000));
+        const std::string body =
+            this->bed.body(id, tasks, repeatable, run_ms, deadline_ms, payload);
         this->ask(this->chance(2) ? at : this->node(), body);
         if (this->chance(4))
         {
@@ -221,9 +225,16 @@
     return text == nullptr ? 60 : std::atoi(text);
 }
 
+struct totals
+{
+    std::size_t steps = 0;
+    /// Replies by result.
+    std::map<std::string, std::size_t> results;
+};
+
 /// Returns the seed of the first schedule with a violation, or nothing.
 std::optional<std::uint64_t> first_violation(broken_rule broken, int schedules,
-                                             std::size_t& steps)
+                                             totals& seen)
 {
     const std::uint64_t first = first_seed();
     std::cout << "engine schedules: first seed " << first << '\n';
@@ -232,7 +243,11 @@
     {
         engine_schedule schedule(seed, broken);
         const std::string fault = schedule.run();
-        steps += schedule.bed.steps;
+        seen.steps += schedule.bed.steps;
+        for (const auto& [token, request] : schedule.bed.requests)
+        {
+            ++seen.results[schedule.bed.result(token)];
+        }
         if (!fault.empty())
         {
             std::cout << "seed " << seed << ": " << fault << '\n';
@@ -249,21 +264,29 @@
 // Guards against any violation of the guarantees under mixed faults.
 BOOST_AUTO_TEST_CASE(schedule_all_faults_keeps_guarantees)
 {
-    std::size_t steps = 0;
+    totals seen;
     const auto seed =
-        first_violation(broken_rule::none, schedule_count(), steps);
-    std::cout << "engine schedules: " << steps << " steps\n";
+        first_violation(broken_rule::none, schedule_count(), seen);
+    std::cout << "engine schedules: " << seen.steps << " steps\n";
+    for (const auto& [result, count] : seen.results)
+    {
+        std::cout << "engine schedules: " << count << ' ' << result << '\n';
+    }
+    for (const char* result : {"complete", "failed", "not_run", "in_progress"})
+    {
+        BOOST_TEST(seen.results[result] > 0);
+    }
     BOOST_TEST(!seed.has_value());
 }
 
 // Guards against a check that would not notice a second start.
 BOOST_AUTO_TEST_CASE(schedule_broken_rule_is_noticed)
 {
-    std::size_t steps = 0;
+    totals seen;
     for (const broken_rule broken :
          {broken_rule::unknown_as_not_started, broken_rule::same_incarnation})
     {
-        BOOST_TEST(first_violation(broken, 60, steps).has_value());
+        BOOST_TEST(first_violation(broken, 60, seen).has_value());
     }
 }
 
