Log state changes and add gauges and peer counters to the metrics

Cause: the log did not show peers, backend servers, failed jobs, claim faults or refused edits, and /metrics had neither the engine's state nor the traffic between peers.

Change: engine_watch compares the engine's dump once a second on its own thread, logs what changed and sets the gauges; log_limiter allows the first line about a fault, then one in 10 s with the count. Metrics have labels and one TYPE line each; counters of the peer network are read at each request.

Ruled out: a dump on each tick of 10 ms, which costs the engine's thread too much. Log and metrics share engine_watch, so they are one commit.

Conclusion: changes within a second are not logged; the dump does not tell an ejected server from a leaving one. The cost of a dump a second at 870 workers was not measured.

--- a/src/jujubedrumd/daemon.cpp
+++ b/src/jujubedrumd/daemon.cpp
@@ -19,6 +19,29 @@
 /// requests that were on their way when the stop began.
 constexpr milliseconds drain_settle{500};
 
+void collect_traffic(const peer_network& network, metrics_registry& metrics)
+{
+    const peer_counters counters = network.counters();
+    metrics.set_counter("peer_socket_bytes_total", "direction=\"out\"",
+                        counters.socket_bytes_sent);
+    metrics.set_counter("peer_socket_bytes_total", "direction=\"in\"",
+                        counters.socket_bytes_received);
+    metrics.set_counter("peer_connections_opened_total", "",
+                        counters.connections_opened);
+    for (std::size_t i = 0; i < peer_call_count; ++i)
+    {
+        const std::string call =
+            "call=\"" + std::string(peer_call_names.at(i)) + "\"";
+        const call_traffic& traffic = counters.calls.at(i);
+        metrics.set_counter("peer_calls_total", call, traffic.calls_out);
+        metrics.set_counter("peer_call_failures_total", call, traffic.failures);
+        metrics.set_counter("peer_call_bytes_total",
+                            call + ",direction=\"out\"", traffic.bytes_sent);
+        metrics.set_counter("peer_call_bytes_total", call + ",direction=\"in\"",
+                            traffic.bytes_received);
+    }
+}
+
 std::uint64_t random_incarnation()
 {
     std::random_device device;
@@ -56,6 +79,9 @@
         return 1;
     }
     gateway.connect(*network);
+    this->metrics.set_collector(
+        [&network = *network](metrics_registry& registry)
+        { collect_traffic(network, registry); });
     const auto port = this->frontend.start();
     if (!port)
     {
@@ -71,6 +97,8 @@
     this->wait_for_signal();
     this->drain();
     this->frontend.stop();
+    // The collector reads the network, which ends with this function.
+    this->metrics.set_collector(nullptr);
     // The network first: its callbacks post events to the host.
     network->stop();
     this->host.stop();
--- a/src/libruntime/engine_host.cpp
+++ b/src/libruntime/engine_host.cpp
@@ -46,6 +46,7 @@
     , sends(command_capacity)
     , stops(command_capacity)
     , questions(16)
+    , watch(registry)
     , platform(
           initial, [] { return now(); },
           [this](event next) { this->post(std::move(next)); })
@@ -62,6 +63,7 @@
     this->peers = &transport;
     this->threads.emplace_back([this] { this->run_engine(); });
     this->threads.emplace_back([this] { this->run_stopper(); });
+    this->threads.emplace_back([this] { this->run_watch(); });
     for (std::uint32_t i = 0; i < this->config_values.sender_threads(); ++i)
     {
         this->threads.emplace_back([this] { this->run_sender(); });
@@ -71,6 +73,11 @@
 
 void engine_host::stop()
 {
+    {
+        const std::lock_guard lock(this->watch_mutex);
+        this->watch_stopping = true;
+        this->watch_wake.notify_all();
+    }
     this->events.close();
     this->sends.close();
     this->stops.close();
@@ -153,6 +160,19 @@
     }
 }
 
+void engine_host::run_watch()
+{
+    // On its own thread, so that the engine only writes the dump.
+    std::unique_lock lock(this->watch_mutex);
+    while (!this->watch_wake.wait_for(lock, watch_interval,
+                                      [this] { return this->watch_stopping; }))
+    {
+        lock.unlock();
+        this->watch.observe(this->dump());
+        lock.lock();
+    }
+}
+
 void engine_host::step(event next)
 {
     for (action& action : this->engine.handle(std::move(next), now(), wall()))
@@ -200,8 +220,24 @@
     return result.get();
 }
 
+void engine_host::log_failure(const api_reply& reply)
+{
+    const outcome* result = reply.result();
+    if (result == nullptr || result->kind() != outcome_kind::failed)
+    {
+        return;
+    }
+    const std::string reason(to_string(result->reason()));
+    if (const auto count = this->failures.count(reason, now()))
+    {
+        LOG(WARNING) << "engine: job failed; reason=" << reason
+                     << " count=" << *count;
+    }
+}
+
 void engine_host::perform(reply_action& next)
 {
+    this->log_failure(next.reply);
     this->waiting.deliver(next.token, std::move(next.reply));
 }
 
--- a/src/libruntime/engine_host.hpp
+++ b/src/libruntime/engine_host.hpp
@@ -4,12 +4,15 @@
 #include "base/bounded_ring.hpp"
 #include "config/settings.hpp"
 #include "engine/dispatch_engine.hpp"
+#include "engine_watch.hpp"
+#include "log_limiter.hpp"
 #include "metrics_registry.hpp"
 #include "peer_transport.hpp"
 #include "platform_link.hpp"
 #include "reply_registry.hpp"
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -65,6 +68,8 @@
 private:
     /// Time between two ticks of the engine.
     static constexpr microseconds tick_interval = milliseconds(10);
+    /// Time between two looks at the engine for the log and the gauges.
+    static constexpr seconds watch_interval{1};
     static constexpr std::size_t event_capacity = 16'384;
     static constexpr std::size_t command_capacity = 8'192;
 
@@ -73,10 +78,12 @@
     void run_engine();
     void run_sender();
     void run_stopper();
+    void run_watch();
     void step(event next);
     void carry_out(action next);
     void answer_questions();
     void publish_state();
+    void log_failure(const api_reply& reply);
     std::string ask(const std::function<std::string(dispatch_engine&)>& read);
 
     void perform(reply_action& next);
@@ -98,6 +105,11 @@
     bounded_ring<send_task_action> sends;
     bounded_ring<stop_task_action> stops;
     bounded_ring<question> questions;
+    log_limiter failures;
+    engine_watch watch;
+    std::mutex watch_mutex;
+    std::condition_variable watch_wake;
+    bool watch_stopping = false;
     platform_link platform;
     peer_transport* peers = nullptr;
     std::vector<std::thread> threads;
--- a/src/libruntime/http_frontend.cpp
+++ b/src/libruntime/http_frontend.cpp
@@ -411,7 +411,7 @@
     }
 }
 
-void http_frontend::get_metrics(const request& req, response& res) const
+void http_frontend::get_metrics(const request& req, response& res)
 {
     if (this->find_reader(req, res))
     {
--- a/src/libruntime/http_frontend.hpp
+++ b/src/libruntime/http_frontend.hpp
@@ -58,7 +58,7 @@
                                            response& res) const;
     void get_dump(const request& req, response& res);
     void get_status(const request& req, response& res);
-    void get_metrics(const request& req, response& res) const;
+    void get_metrics(const request& req, response& res);
     /// Hands an event to the engine and waits for the reply. Returns nothing
     /// after the wait.
     template <typename Event>
--- /dev/null
+++ b/src/libruntime/log_limiter.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "base/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace jujubedrum
+{
+
+/// Limits log lines about repeated faults: the first occurrence of a kind is
+/// logged, then at most one line in an interval. Thread-safe.
+class log_limiter
+{
+public:
+    /// \param shortest time between two lines about one kind.
+    explicit log_limiter(microseconds shortest = seconds(10))
+        : interval(shortest)
+    {
+    }
+
+    /// Counts an occurrence. Returns the occurrences since the last line, this
+    /// one included, if a line is due, else nothing.
+    std::optional<std::uint64_t> count(const std::string& kind, instant now);
+
+private:
+    /// Kinds remembered; bounds the memory if kinds come from outside.
+    static constexpr std::size_t most_kinds = 256;
+
+    struct state
+    {
+        instant last_line{0};
+        std::uint64_t unlogged = 0;
+    };
+
+    const microseconds interval;
+    std::mutex mutex;
+    std::map<std::string, state> kinds;
+};
+
+} // namespace jujubedrum
--- a/src/libruntime/metrics_registry.hpp
+++ b/src/libruntime/metrics_registry.hpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <sstream>
@@ -34,10 +35,20 @@
 
     /// Sets a gauge, for values that other parts own.
     void set_gauge(const std::string& name, double value);
+    /// Sets one value of a gauge with labels, such as `state="alive"`.
+    void set_gauge(const std::string& name, const std::string& labels,
+                   double value);
+    /// Sets a counter that another part counts.
+    void set_counter(const std::string& name, const std::string& labels,
+                     std::uint64_t value);
+    /// Sets a function called before the metrics are written, to set values.
+    void set_collector(std::function<void(metrics_registry&)> function);
     /// Returns all metrics as text.
-    [[nodiscard]] std::string text() const;
+    [[nodiscard]] std::string text();
 
 private:
+    void write_outcomes(std::ostream& out) const;
+
     static constexpr std::size_t cause_count = 7;
 
     using ratio_accumulator = boost::accumulators::accumulator_set<
@@ -46,11 +57,15 @@
             boost::accumulators::tag::count, boost::accumulators::tag::sum,
             boost::accumulators::tag::extended_p_square_quantile>>;
 
+    std::mutex collector_mutex;
+    std::function<void(metrics_registry&)> collector;
     mutable std::mutex mutex;
     std::uint64_t task_starts = 0;
     std::array<std::uint64_t, cause_count> messages{};
     std::map<std::string, std::uint64_t, std::less<>> jobs;
-    std::map<std::string, double> gauges;
+    /// By name, then by labels; values of a name must be written together.
+    std::map<std::string, std::map<std::string, double>> gauges;
+    std::map<std::string, std::map<std::string, std::uint64_t>> counters;
     ratio_accumulator ratio;
 };
 
--- a/src/libruntime/platform_link.cpp
+++ b/src/libruntime/platform_link.cpp
@@ -231,6 +231,10 @@
     result.not_written =
         !result.offset && (why.code() == platform_error::unreachable ||
                            why.code() == platform_error::refused);
+    if (!result.offset)
+    {
+        this->log_claim_fault("append", action.stream, why);
+    }
     this->post(std::move(result));
 }
 
@@ -241,6 +245,7 @@
                             milliseconds(0), why);
     if (!page)
     {
+        this->log_claim_fault("read", action.stream, why);
         this->post(read_failed_event{action.stream});
         return;
     }
@@ -248,6 +253,17 @@
         to_event(action.stream, action.from, std::move(*page), page_records));
 }
 
+void platform_link::log_claim_fault(const char* what, const std::string& stream,
+                                    const platform_reason& why)
+{
+    if (const auto count = this->claim_faults.count(what, this->clock()))
+    {
+        LOG(WARNING) << "claims: " << what << " failed; stream=" << stream
+                     << " count=" << *count << " reason=\"" << why.message()
+                     << "\"";
+    }
+}
+
 bool platform_link::pause(milliseconds time)
 {
     std::unique_lock lock(this->mutex);
--- a/src/libruntime/platform_link.hpp
+++ b/src/libruntime/platform_link.hpp
@@ -4,6 +4,7 @@
 #include "base/time.hpp"
 #include "config/settings.hpp"
 #include "engine/events.hpp"
+#include "log_limiter.hpp"
 #include "platform_client.hpp"
 
 #include <atomic>
@@ -54,6 +55,8 @@
     void serve_log(platform_client& client);
     void append(platform_client& client, const append_action& action);
     void read(platform_client& client, const read_action& action);
+    void log_claim_fault(const char* what, const std::string& stream,
+                         const platform_reason& why);
     bool pause(milliseconds time);
     [[nodiscard]] std::unique_ptr<platform_client> make_client() const;
 
@@ -61,6 +64,7 @@
     clock_function clock;
     post_function post;
     bounded_ring<command> commands;
+    log_limiter claim_faults;
     std::unique_ptr<platform_client> config_client;
     std::unique_ptr<platform_client> list_client;
     std::vector<std::unique_ptr<platform_client>> log_clients;
--- a/tests/unit/http_frontend_test.cpp
+++ b/tests/unit/http_frontend_test.cpp
@@ -3,9 +3,12 @@
 #include "connection_pool.hpp"
 #include "engine_host.hpp"
 #include "http_frontend.hpp"
+#include "log_limiter.hpp"
 
 #include <array>
 #include <future>
+#include <set>
+#include <sstream>
 #include <thread>
 
 #include <arpa/inet.h>
@@ -305,6 +308,31 @@
     }
 }
 
+// Guards against metrics that a reader of the text format refuses.
+BOOST_AUTO_TEST_CASE(metrics_declare_each_type_once_before_its_values)
+{
+    this->metrics.set_gauge("peers", "state=\"alive\"", 3);
+    this->metrics.set_gauge("peers", "state=\"dead\"", 1);
+    this->metrics.set_counter("peer_calls_total", "call=\"borrow\"", 2);
+    this->metrics.set_gauge("large", 12345678);
+    std::set<std::string> declared;
+    std::string family;
+    std::istringstream lines(this->get("", "/metrics")->body);
+    for (std::string line; std::getline(lines, line);)
+    {
+        if (line.starts_with("# TYPE "))
+        {
+            family = line.substr(7, line.find(' ', 7) - 7);
+            BOOST_TEST(declared.insert(family).second);
+            continue;
+        }
+        BOOST_TEST(line.starts_with(family));
+    }
+    BOOST_TEST(declared.contains("jujubedrum_peers"));
+    BOOST_TEST(this->metrics.text().find("jujubedrum_large 12345678\n") !=
+               std::string::npos);
+}
+
 // Guards against a team that reads another team's state.
 BOOST_FIXTURE_TEST_CASE(dump_for_team_holds_only_its_part, operator_fixture)
 {
@@ -320,6 +348,22 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(log_limiter_suite)
+
+// Guards against a fault that floods the log, or that is never logged again.
+BOOST_AUTO_TEST_CASE(count_within_interval_gives_one_line)
+{
+    log_limiter limiter(seconds(10));
+    BOOST_TEST(limiter.count("a", seconds(100)).value_or(0) == 1U);
+    BOOST_TEST(!limiter.count("a", seconds(101)));
+    BOOST_TEST(limiter.count("b", seconds(101)).value_or(0) == 1U);
+    BOOST_TEST(!limiter.count("a", seconds(109)));
+    BOOST_TEST(limiter.count("a", seconds(110)).value_or(0) == 3U);
+    BOOST_TEST(!limiter.count("a", seconds(111)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(connection_pool_suite)
 
 // Guards against a pool in which connections that wait starve later ones.
