--- a/src/libruntime/http_frontend.cpp
+++ b/src/libruntime/http_frontend.cpp
@@ -104,21 +104,25 @@
     return part.dump();
 }
 
-/// Counts a request while it is served.
+/// Counts a request while it is served, unless it came while draining. Callers
+/// that go on submitting would otherwise hold up the exit until the drain
+/// timeout.
 class request_counter
 {
 public:
-    explicit request_counter(std::atomic<std::size_t>& counter)
+    request_counter(std::atomic<std::size_t>& counter, bool draining)
         : count(counter)
+        , step(draining ? 0 : 1)
     {
-        ++this->count;
+        this->count += this->step;
     }
-    ~request_counter() { --this->count; }
+    ~request_counter() { this->count -= this->step; }
     request_counter(const request_counter&) = delete;
     request_counter& operator=(const request_counter&) = delete;
 
 private:
     std::atomic<std::size_t>& count;
+    std::size_t step;
 };
 
 } // namespace
@@ -230,7 +234,7 @@
 
 void http_frontend::post_ids(const request& req, response& res)
 {
-    const request_counter counted(this->requests);
+    const request_counter counted(this->requests, this->draining);
     if (!this->find_team(req, res))
     {
         return;
@@ -261,7 +265,7 @@
 
 void http_frontend::post_job(const request& req, response& res)
 {
-    const request_counter counted(this->requests);
+    const request_counter counted(this->requests, this->draining);
     // Before the body is parsed, so that strangers cannot occupy the parser.
     if (!this->find_team(req, res))
     {
@@ -309,7 +313,7 @@
 void http_frontend::about_job(const request& req, response& res,
                               milliseconds wait)
 {
-    const request_counter counted(this->requests);
+    const request_counter counted(this->requests, this->draining);
     const auto team = this->find_team(req, res);
     if (!team)
     {
