Keep trying to hedge, answer for dead claim holders, serve accepted connections

Cause: (1) an overdue attempt tried to hedge once; with the budget used up at that moment the straggler was waited for until the deadline. (2) A collect for a claimed id whose holder is dead was answered 404. (3) Server::stop() drops accepted connections whose request has not been read. Change: an overdue attempt tries again every 50 ms while the budget allows; questions about a claimed id go to the holder named by the claim, and end as failed if it is dead; a stop ends only the listening socket, so that accepted connections are served; list and log messages are counted as wasted. Ruled out: a larger budget, which would let retries grow under a full outage. Conclusion: stragglers are hedged as soon as the budget allows.

--- a/src/libjujubedrum/engine/claim_controller.cpp
+++ b/src/libjujubedrum/engine/claim_controller.cpp
@@ -135,6 +135,14 @@
     return verdicts;
 }
 
+std::optional<claim_verdict>
+claim_controller::holder_of(const std::string& id) const
+{
+    const auto stream = this->streams.find(stream_of(id));
+    return stream == this->streams.end() ? std::nullopt
+                                         : stream->second.ledger->find(id);
+}
+
 std::size_t claim_controller::pending() const
 {
     std::size_t total = 0;
--- a/src/libjujubedrum/engine/claim_controller.hpp
+++ b/src/libjujubedrum/engine/claim_controller.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -53,6 +54,10 @@
     /// Returns and removes the verdicts so far.
     std::vector<claim_verdict> take_verdicts();
 
+    /// Returns the first claim of an id, if its stream has been read that far.
+    [[nodiscard]] std::optional<claim_verdict>
+    holder_of(const std::string& id) const;
+
     /// Returns the number of ids without a verdict.
     [[nodiscard]] std::size_t pending() const;
     /// Returns the number of claims remembered.
--- a/src/libjujubedrum/engine/dispatch_engine.cpp
+++ b/src/libjujubedrum/engine/dispatch_engine.cpp
@@ -261,13 +261,17 @@
 
 void dispatch_engine::on(list_event&& next)
 {
+    this->metrics.on_message(message_cause::control, 2);
     this->members.on_list(next, this->now);
     this->jobs.pump(this->now);
 }
 
 void dispatch_engine::on(records_event&& next)
 {
-    if (claim_controller::is_claim_stream(next.stream))
+    const bool claims_read = claim_controller::is_claim_stream(next.stream);
+    this->metrics.on_message(
+        claims_read ? message_cause::claim : message_cause::control, 2);
+    if (claims_read)
     {
         this->claims.on_records(next, this->now, this->wall);
         return;
@@ -290,6 +294,7 @@
 
 void dispatch_engine::on(append_event&& next)
 {
+    this->metrics.on_message(message_cause::claim, 2);
     if (claim_controller::is_claim_stream(next.stream))
     {
         this->claims.on_append(next);
@@ -693,33 +698,40 @@
                     "again with the same id"));
 }
 
+bool dispatch_engine::is_gone(const std::string& instance,
+                              std::uint64_t incarnation)
+{
+    if (instance == this->options.self.name)
+    {
+        return incarnation != this->options.incarnation;
+    }
+    return this->members.table().is_dead(instance, incarnation, this->now);
+}
+
 bool dispatch_engine::pass_on(request_token token, const std::string& id,
                               std::uint32_t hops, const peer_request& request)
 {
     const auto issued = issued_id::parse(id);
-    std::string holder;
-    if (issued)
+    if (issued && this->issuer.owns(*issued))
     {
-        if (this->issuer.owns(*issued))
-        {
-            return false;
-        }
-        if (issued->instance() == this->options.self.name ||
-            this->members.table().is_dead(issued->instance(),
-                                          issued->incarnation(), this->now))
-        {
-            this->reply(token, id,
-                        outcome::failed(outcome_reason::instance_dead,
-                                        "the instance that issued the id is "
-                                        "gone; the tasks may have run"));
-            return true;
-        }
-        holder = issued->instance();
+        return false;
     }
-    else
+    const auto claimed = this->claims.holder_of(id);
+    std::string holder = this->members.preferred(
+        claim_controller::stream_name(claim_controller::stream_of(id)));
+    std::uint64_t incarnation = 0;
+    if (issued || claimed)
     {
-        holder = this->members.preferred(
-            claim_controller::stream_name(claim_controller::stream_of(id)));
+        holder = issued ? issued->instance() : claimed->instance;
+        incarnation = issued ? issued->incarnation() : claimed->incarnation;
+    }
+    if (incarnation != 0 && this->is_gone(holder, incarnation))
+    {
+        this->reply(token, id,
+                    outcome::failed(outcome_reason::instance_dead,
+                                    "the instance that held the id is gone; "
+                                    "the tasks may have run"));
+        return true;
     }
     if (hops > 0 || holder == this->options.self.name)
     {
--- a/src/libjujubedrum/engine/dispatch_engine.hpp
+++ b/src/libjujubedrum/engine/dispatch_engine.hpp
@@ -178,6 +178,8 @@
                     request_token token);
     void forward(submit_event&& next, const std::string& to);
     void answer_unreachable(request_token token, const std::string& id);
+    [[nodiscard]] bool is_gone(const std::string& instance,
+                               std::uint64_t incarnation);
     bool pass_on(request_token token, const std::string& id, std::uint32_t hops,
                  const peer_request& request);
     void admit(submission job, const std::vector<request_token>& waiters,
--- a/src/libjujubedrum/engine/job_controller.cpp
+++ b/src/libjujubedrum/engine/job_controller.cpp
@@ -20,6 +20,10 @@
 /// when the queue is long.
 constexpr std::size_t round_size = 64;
 
+/// Time between two tries to hedge an overdue attempt. The budget or the slots
+/// may be used up at the first try, and the straggler goes on.
+constexpr microseconds hedge_pause = milliseconds(50);
+
 task_demand demand_of(const running_job& job, std::uint32_t index)
 {
     const task_spec& task = job.job.tasks()[index];
@@ -507,16 +511,20 @@
     for (auto& [id, attempt] : this->attempts)
     {
         const microseconds elapsed = now - attempt.sent;
-        if (attempt.hedge || attempt.overdue_reported ||
+        if (attempt.hedge || now < attempt.next_hedge ||
             elapsed < this->services.stats.run_time_bound(attempt.choice.server,
                                                           attempt.kind,
                                                           attempt.declared))
         {
             continue;
         }
-        attempt.overdue_reported = true;
-        this->services.stats.on_overdue(attempt.choice.server, attempt.kind,
-                                        attempt.declared, elapsed);
+        if (!attempt.overdue_reported)
+        {
+            attempt.overdue_reported = true;
+            this->services.stats.on_overdue(attempt.choice.server, attempt.kind,
+                                            attempt.declared, elapsed);
+        }
+        attempt.next_hedge = now + hedge_pause;
         this->hedge(attempt, now);
     }
 }
@@ -531,7 +539,9 @@
     }
     const task_spec& task = job->job.tasks()[attempt.index];
     task_progress& progress = job->tasks[attempt.index];
-    if (!task.repeatable() || progress.hedged || progress.at != stage::running)
+    if (!task.repeatable() || progress.hedged ||
+        progress.at != stage::running ||
+        this->services.budget.available(now) < 1)
     {
         return;
     }
--- a/src/libjujubedrum/engine/running_job.hpp
+++ b/src/libjujubedrum/engine/running_job.hpp
@@ -74,6 +74,8 @@
     instant sent{0};
     bool hedge = false;
     bool overdue_reported = false;
+    /// Earliest time of the next try to hedge.
+    instant next_hedge{0};
 };
 
 } // namespace jujubedrum
--- a/src/libjujubedrum/jobs/claim_ledger.cpp
+++ b/src/libjujubedrum/jobs/claim_ledger.cpp
@@ -74,6 +74,18 @@
     return true;
 }
 
+std::optional<claim_verdict> claim_ledger::find(const std::string& id) const
+{
+    const auto known = this->claims.find(id);
+    if (known == this->claims.end())
+    {
+        return std::nullopt;
+    }
+    const holder& first = known->second;
+    return claim_verdict{id, claim_result::lost, first.instance,
+                         first.incarnation, first.digest};
+}
+
 std::optional<claim_append> claim_ledger::next_append(instant now)
 {
     this->withdraw_due(now);
--- a/src/libjujubedrum/jobs/claim_ledger.hpp
+++ b/src/libjujubedrum/jobs/claim_ledger.hpp
@@ -122,6 +122,9 @@
 
     /// Returns whether a read for own records is wanted.
     [[nodiscard]] bool wants_read() const;
+    /// Returns the first claim of an id that was read, as a `lost` verdict.
+    [[nodiscard]] std::optional<claim_verdict>
+    find(const std::string& id) const;
     /// Returns whether the stream was read to its end once.
     [[nodiscard]] bool caught_up() const { return this->read_to_end; }
     /// Returns the number of ids without a verdict.
--- a/src/libruntime/http_frontend.cpp
+++ b/src/libruntime/http_frontend.cpp
@@ -170,7 +170,10 @@
     {
         return;
     }
-    this->server.stop();
+    // Server::stop() would drop accepted connections whose request has not been
+    // read yet. Ending only the listening socket lets the pool serve them; idle
+    // ones end after the keep-alive timeout.
+    ::shutdown(this->listener, SHUT_RD);
     this->thread.join();
 }
 
@@ -179,6 +182,15 @@
     const std::size_t threads = this->config.http_threads();
     this->server.new_task_queue = [threads]
     { return new connection_pool(threads * thread_growth); };
+    // Replaces the library's options, which add SO_REUSEPORT: a second process
+    // could then listen on the same port unnoticed.
+    this->server.set_socket_options(
+        [this](socket_t socket)
+        {
+            const int on = 1;
+            ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+            this->listener = socket;
+        });
     this->server.set_tcp_nodelay(true);
     this->server.set_keep_alive_max_count(max_keep_alive);
     this->server.set_keep_alive_timeout(keep_alive_timeout.count());
--- a/src/libruntime/http_frontend.hpp
+++ b/src/libruntime/http_frontend.hpp
@@ -77,6 +77,7 @@
     metrics_registry& metrics;
     filter_chain submission_filters;
     httplib::Server server;
+    socket_t listener = INVALID_SOCKET;
     std::thread thread;
     std::atomic<bool> draining = false;
     std::atomic<std::size_t> requests = 0;
