Stop placement rounds at the last free slot; parse the list in one place

Change: a round after an answer ends when no slot is free; rounds on arrivals and ticks still look at all waiting tasks to count late ones, and that count is used once. platform_client gives the membership layer's instance_page. Checks: the client's test lacked the domain that the published list format requires and the remaining parser insists on; the test now sends it. Ruled out: rounds on ticks only, which would delay borrowing by 10 ms.

--- a/fuzz/fuzz_platform.cpp
+++ b/fuzz/fuzz_platform.cpp
@@ -10,16 +10,11 @@
     const std::string text(reinterpret_cast<const char*>(data), size);
     (void)jujubedrum::parse_append_reply(text);
     (void)jujubedrum::parse_records_page(text);
-    (void)jujubedrum::parse_list_page(text);
     return 0;
 }
 
 std::vector<std::string> fuzz_seeds()
 {
-    return {R"({"offset":7})",
-            R"({"first_retained":2,"next":4,"records":[)"
-            R"({"offset":3,"data":"x"}]})",
-            R"({"version":5,"full":true,"changes":[{"name":"b1",)"
-            R"("role":"backend","address":"127.0.0.1","port":9,"slots":8,)"
-            R"("memory_mb":512,"weight":1,"state":"live"}]})"};
+    return {R"({"offset":7})", R"({"first_retained":2,"next":4,"records":[)"
+                               R"({"offset":3,"data":"x"}]})"};
 }
--- a/src/libjujubedrum/engine/dispatch_engine.cpp
+++ b/src/libjujubedrum/engine/dispatch_engine.cpp
@@ -1030,7 +1030,7 @@
         return;
     }
     const auto planned =
-        this->grants.plan_request(this->jobs.late(), this->now);
+        this->grants.plan_request(this->jobs.take_late(), this->now);
     if (!planned)
     {
         return;
--- a/src/libjujubedrum/engine/job_controller.cpp
+++ b/src/libjujubedrum/engine/job_controller.cpp
@@ -119,7 +119,7 @@
             this->on_not_answered(*job, attempt, reply, now);
         }
     }
-    this->pump(now);
+    this->run_round(now, false);
 }
 
 void job_controller::tick(instant now)
@@ -134,23 +134,34 @@
 {
     if (this->round_due && !this->rounds_held)
     {
-        this->pump(now);
+        this->run_round(now, false);
     }
 }
 
 void job_controller::pump(instant now)
 {
+    this->run_round(now, true);
+}
+
+void job_controller::run_round(instant now, bool whole)
+{
+    this->whole_due = this->whole_due || whole;
     this->round_due = this->rounds_held;
     if (this->rounds_held)
     {
         return;
     }
+    // Without a free slot a round can only count late tasks. An answer frees
+    // one slot, so looking on would cost a survey of all slots for each answer.
+    const bool look_on = std::exchange(this->whole_due, false) ||
+                         !this->services.policy.uses_owned_slots();
     // The first event after a pause is not always a tick.
     this->end_overdue_jobs(now);
     this->services.policy.begin_round(now);
     for (const team_task& next : this->queue.next(round_size))
     {
-        if (this->attempts.size() >= this->options.max_in_flight)
+        if (this->attempts.size() >= this->options.max_in_flight ||
+            (!look_on && this->services.pool.free() == 0))
         {
             return;
         }
@@ -160,6 +171,10 @@
             this->place(next, now);
         }
     }
+    if (look_on)
+    {
+        this->late_tasks = this->services.policy.late_tasks();
+    }
 }
 
 void job_controller::drain(instant now)
--- a/src/libjujubedrum/engine/job_controller.hpp
+++ b/src/libjujubedrum/engine/job_controller.hpp
@@ -23,6 +23,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 namespace jujubedrum
 {
@@ -95,11 +96,9 @@
     {
         return this->attempts.size();
     }
-    /// Returns the number of waiting tasks that more slots would help.
-    [[nodiscard]] std::size_t late() const
-    {
-        return this->services.policy.late_tasks();
-    }
+    /// Returns the number of waiting tasks that more slots would help, and
+    /// forgets it until the next round that offers all waiting tasks.
+    std::size_t take_late() { return std::exchange(this->late_tasks, 0); }
     /// Returns the number of tasks waiting for a slot.
     [[nodiscard]] std::size_t queued() const { return this->queue.size(); }
     /// Returns the queue.
@@ -124,6 +123,8 @@
     };
 
     [[nodiscard]] running_job* find(std::uint64_t number);
+    /// \param whole whether to offer waiting tasks beyond the free slots.
+    void run_round(instant now, bool whole);
     void enqueue(running_job& job, std::uint32_t index);
     void dequeue(running_job& job, std::uint32_t index);
     void place(const team_task& next, instant now);
@@ -160,6 +161,8 @@
     attempt_id last_attempt = 0;
     bool rounds_held = false;
     bool round_due = false;
+    bool whole_due = false;
+    std::size_t late_tasks = 0;
 };
 
 } // namespace jujubedrum
--- a/src/libruntime/platform_client.cpp
+++ b/src/libruntime/platform_client.cpp
@@ -96,8 +96,8 @@
     return page;
 }
 
-std::optional<list_page> platform_client::instances(std::uint64_t since,
-                                                    platform_reason& why)
+std::optional<instance_page> platform_client::instances(std::uint64_t since,
+                                                        platform_reason& why)
 {
     const std::string path = "/v1/instances?since=" + std::to_string(since);
     const auto body =
@@ -106,11 +106,11 @@
     {
         return std::nullopt;
     }
-    auto page = parse_list_page(*body);
+    membership_reason malformed;
+    auto page = parse_instance_page(*body, malformed);
     if (!page)
     {
-        why = {platform_error::malformed, "GET " + path,
-               "the reply is no list of instances"};
+        why = {platform_error::malformed, "GET " + path, malformed.message()};
     }
     return page;
 }
--- a/src/libruntime/platform_client.hpp
+++ b/src/libruntime/platform_client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "membership/instance_page.hpp"
 #include "platform_error.hpp"
 #include "platform_types.hpp"
 
@@ -49,8 +50,8 @@
                                      platform_reason& why);
 
     /// Reads the changes of the list since a version; 0 reads all of it.
-    std::optional<list_page> instances(std::uint64_t since,
-                                       platform_reason& why);
+    std::optional<instance_page> instances(std::uint64_t since,
+                                           platform_reason& why);
 
     /// Breaks off a call in progress on another thread, which then fails with
     /// `timeout`.
--- a/src/libruntime/platform_link.cpp
+++ b/src/libruntime/platform_link.cpp
@@ -16,44 +16,6 @@
 constexpr milliseconds first_pause{100};
 constexpr milliseconds longest_pause{2000};
 
-instance_role role_of(const std::string& text)
-{
-    return text == "backend" ? instance_role::backend : instance_role::entry;
-}
-
-listed_state state_of(const std::string& text)
-{
-    if (text == "leaving")
-    {
-        return listed_state::leaving;
-    }
-    return text == "gone" ? listed_state::gone : listed_state::live;
-}
-
-instance_page to_instance_page(const list_page& page)
-{
-    instance_page result;
-    result.version = page.version;
-    result.full = page.full;
-    for (const instance_change& change : page.changes)
-    {
-        instance_info info;
-        info.name = change.name;
-        info.role = role_of(change.role);
-        info.domain = change.domain;
-        info.region = change.region;
-        info.address = change.address;
-        info.port = change.port;
-        info.rpc_port = change.rpc_port;
-        info.weight = change.weight;
-        info.slots = change.slots;
-        info.memory_mb = change.memory_mb;
-        info.state = state_of(change.state);
-        result.changes.push_back(std::move(info));
-    }
-    return result;
-}
-
 records_event to_event(const std::string& stream, std::uint64_t from,
                        records_page page, std::size_t page_size)
 {
@@ -185,11 +147,11 @@
     {
         platform_reason why;
         const instant asked_at = this->clock();
-        const auto page = this->list_client->instances(version, why);
+        auto page = this->list_client->instances(version, why);
         if (page)
         {
             version = std::max(version, page->version);
-            this->post(list_event{to_instance_page(*page), asked_at});
+            this->post(list_event{std::move(*page), asked_at});
         }
         if (failing != !page.has_value())
         {
--- a/src/libruntime/platform_replies.hpp
+++ b/src/libruntime/platform_replies.hpp
@@ -17,7 +17,4 @@
 [[nodiscard]] std::optional<records_page>
 parse_records_page(const std::string& text);
 
-/// Returns the list of instances in a reply; nothing if it is malformed.
-[[nodiscard]] std::optional<list_page> parse_list_page(const std::string& text);
-
 } // namespace jujubedrum
--- a/src/libruntime/platform_types.hpp
+++ b/src/libruntime/platform_types.hpp
@@ -20,33 +20,4 @@
     bool operator==(const records_page&) const = default;
 };
 
-/// Entry of the platform's list of instances.
-struct instance_change
-{
-    std::string name;
-    /// "entry" or "backend".
-    std::string role;
-    std::string domain;
-    std::string region;
-    std::string address;
-    std::uint16_t port = 0;
-    std::uint16_t rpc_port = 0;
-    std::uint32_t weight = 1;
-    std::uint32_t slots = 0;
-    std::uint32_t memory_mb = 0;
-    /// "live", "leaving" or "gone".
-    std::string state;
-    bool operator==(const instance_change&) const = default;
-};
-
-/// Reply to a read of the list.
-struct list_page
-{
-    std::uint64_t version = 0;
-    /// Whether the changes are the whole list, not those since a version.
-    bool full = false;
-    std::vector<instance_change> changes;
-    bool operator==(const list_page&) const = default;
-};
-
 } // namespace jujubedrum
--- a/tests/unit/config/platform_client_test.cpp
+++ b/tests/unit/config/platform_client_test.cpp
@@ -95,7 +95,8 @@
 BOOST_AUTO_TEST_CASE(instances_returns_changes)
 {
     this->reply = "{\"version\":5,\"full\":true,\"changes\":[{\"name\":\"b1\","
-                  "\"role\":\"backend\",\"address\":\"127.0.0.1\",\"port\":9,"
+                  "\"role\":\"backend\",\"domain\":\"d1\","
+                  "\"address\":\"127.0.0.1\",\"port\":9,"
                   "\"slots\":8,\"memory_mb\":512,\"state\":\"leaving\"}]}";
     auto client = this->client();
     const auto page = client.instances(4, this->why);
@@ -103,7 +104,7 @@
     BOOST_TEST(page->version == 5U);
     BOOST_TEST(page->full);
     BOOST_TEST(page->changes.at(0).port == 9U);
-    BOOST_TEST(page->changes.at(0).state == "leaving");
+    BOOST_TEST((page->changes.at(0).state == listed_state::leaving));
     BOOST_TEST(this->path == "/v1/instances?since=4");
 }
 
