--- a/src/libjujubedrum/placement/owned_slots.cpp
+++ b/src/libjujubedrum/placement/owned_slots.cpp
@@ -2,8 +2,7 @@
 
 #include <algorithm>
 #include <limits>
-#include <string_view>
-#include <unordered_map>
+#include <map>
 
 namespace jujubedrum
 {
@@ -57,13 +56,7 @@
 {
     this->slots.clear();
     this->fastest = std::numeric_limits<double>::max();
-    struct busy_server
-    {
-        const pooled_server* server;
-        double slowness;
-    };
-    // Looked up once for each running task, so by hash and with the slowness.
-    std::unordered_map<std::string_view, busy_server> busy;
+    std::map<std::string_view, const pooled_server*> busy;
     for (const auto& [name, server] : this->pool.servers())
     {
         // Most servers of a large region belong to other instances.
@@ -78,18 +71,17 @@
         }
         // Servers whose slots are all lent count too: tasks can be late even
         // while no slot is left.
-        const double slowness = this->stats.slowness(name);
-        this->fastest = std::min(this->fastest, slowness);
+        this->fastest = std::min(this->fastest, this->stats.slowness(name));
         const bool probe = state == admission_state::probe;
         if (server.free() > 0)
         {
-            this->slots.push_back(
-                {&server, slowness, now, server.free(), probe});
+            this->slots.push_back({&server, this->stats.slowness(name), now,
+                                   server.free(), probe});
         }
         // Slots that were lent while tasks ran are not free when these end.
         if (!probe && server.busy > 0 && server.busy <= server.capacity())
         {
-            busy.emplace(name, busy_server{&server, slowness});
+            busy.emplace(name, &server);
         }
     }
     for (const auto& [ticket, task] : this->running)
@@ -98,7 +90,7 @@
         if (at != busy.end())
         {
             this->slots.push_back(
-                {at->second.server, at->second.slowness,
+                {at->second, this->stats.slowness(task.server),
                  expected_end(task.started_at, task.expected, now), 1, false});
         }
     }
