Move the state report out of the dispatch engine

Cause: dispatch_engine.cpp had grown to 1229 lines and mixed decisions with the writing of JSON. Change: engine_report writes status and dump from const references.

--- a/src/libjujubedrum/engine/dispatch_engine.cpp
+++ b/src/libjujubedrum/engine/dispatch_engine.cpp
@@ -4,8 +4,6 @@
 #include <type_traits>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
 namespace jujubedrum
 {
 
@@ -67,24 +65,6 @@
     return result;
 }
 
-std::string_view to_string(peer_state state)
-{
-    switch (state)
-    {
-    case peer_state::alive:
-        return "alive";
-    case peer_state::suspect:
-        return "suspect";
-    case peer_state::unreachable:
-        return "unreachable";
-    case peer_state::dead:
-        return "dead";
-    case peer_state::leaving:
-        return "leaving";
-    }
-    return "unknown";
-}
-
 std::unique_ptr<placement_policy> policy_of(const engine_options& options,
                                             const placement_context& context)
 {
@@ -1162,68 +1142,21 @@
 
 std::string dispatch_engine::status() const
 {
-    nlohmann::json peers = nlohmann::json::array();
-    for (const peer_view& peer : this->members.table().peers())
-    {
-        peers.push_back({{"name", peer.info.name},
-                         {"domain", peer.info.domain},
-                         {"revision", peer.revision},
-                         {"state", to_string(peer.state)}});
-    }
-    return nlohmann::json{
-        {"instance", this->options.self.name},
-        {"domain", this->options.self.domain},
-        {"incarnation", incarnation_text(this->options.incarnation)},
-        {"ready", this->is_ready},
-        {"draining", this->is_draining},
-        {"revision", this->config.revision()},
-        {"peers", peers}}
-        .dump();
+    return this->report().status();
 }
 
 std::string dispatch_engine::dump(instant at) const
 {
-    using nlohmann::json;
-    json servers = json::array();
-    for (const auto& [name, server] : this->pool.servers())
-    {
-        servers.push_back({{"name", name},
-                           {"domain", server.server.domain()},
-                           {"usable", server.usable},
-                           {"owned", server.owned},
-                           {"lent", server.lent},
-                           {"borrowed", server.borrowed},
-                           {"busy", server.busy},
-                           {"slowness", this->stats.slowness(name)}});
-    }
-    json teams = json::object();
-    for (const auto& [name, quota] : this->quotas.teams())
-    {
-        teams[name] = {{"tasks_per_second", quota.rate()},
-                       {"in_flight", quota.in_flight()},
-                       {"in_flight_cap", quota.in_flight_cap()}};
-    }
-    json whole = json::parse(this->status());
-    whole["time_us"] = at.count();
-    whole["servers"] = servers;
-    whole["teams"] = teams;
-    whole["jobs"] = {{"running", this->jobs.running()},
-                     {"queued_tasks", this->jobs.queued()},
-                     {"tasks_in_flight", this->jobs.in_flight()},
-                     {"answers", this->table.stored()},
-                     {"tombstones", this->table.tombstones()},
-                     {"bytes", this->table.bytes()}};
-    whole["claims"] = {{"pending", this->claims.pending()},
-                       {"known", this->claims.known()}};
-    whole["grants"] = {{"lent", this->grants.lent_grants()},
-                       {"held", this->grants.held_grants()}};
-    whole["config"] = {{"revision", this->config.revision()},
-                       {"next_offset", this->config.next_offset()},
-                       {"refused_edits", this->config.refused()},
-                       {"read_failures", this->config.read_failures()},
-                       {"caught_up", this->config.caught_up()}};
-    whole["peer_calls"] = this->calls.size();
-    return whole.dump();
+    return this->report().dump(at);
+}
+
+engine_report dispatch_engine::report() const
+{
+    return engine_report({this->options.self, this->options.incarnation,
+                          this->is_ready, this->is_draining, this->calls.size(),
+                          this->members.table(), this->pool, this->stats,
+                          this->grants, this->quotas, this->table, this->jobs,
+                          this->config, this->claims});
 }
 
 } // namespace jujubedrum
--- a/src/libjujubedrum/engine/dispatch_engine.hpp
+++ b/src/libjujubedrum/engine/dispatch_engine.hpp
@@ -5,6 +5,7 @@
 #include "config/settings.hpp"
 #include "engine/claim_controller.hpp"
 #include "engine/config_controller.hpp"
+#include "engine/engine_report.hpp"
 #include "engine/events.hpp"
 #include "engine/job_controller.hpp"
 #include "engine/member_controller.hpp"
@@ -203,6 +204,7 @@
     void note_pause(instant at);
     [[nodiscard]] microseconds until(instant deadline) const;
     [[nodiscard]] microseconds without_pause(microseconds remaining) const;
+    [[nodiscard]] engine_report report() const;
     [[nodiscard]] capacity_view capacity() const;
     [[nodiscard]] peer_phase phase() const;
 
--- a/src/libjujubedrum/jujubedrum.hpp
+++ b/src/libjujubedrum/jujubedrum.hpp
@@ -32,6 +32,7 @@
 #include "engine/claim_controller.hpp"
 #include "engine/config_controller.hpp"
 #include "engine/dispatch_engine.hpp"
+#include "engine/engine_report.hpp"
 #include "engine/events.hpp"
 #include "engine/job_controller.hpp"
 #include "engine/member_controller.hpp"
