--- a/src/libjujubedrum/engine/dispatch_engine.cpp
+++ b/src/libjujubedrum/engine/dispatch_engine.cpp
@@ -1,5 +1,7 @@
 #include "engine/dispatch_engine.hpp"
 
+#include "engine/request_filter.hpp"
+
 #include <algorithm>
 #include <type_traits>
 #include <utility>
@@ -356,25 +358,10 @@
 
 void dispatch_engine::on_peer(request_token token, submit_request&& request)
 {
-    const auto& document = this->config.document();
-    const kind_defaults defaults =
-        [&document](const std::string& team, const std::string& kind)
-    {
-        kind_default found;
-        const team_settings* settings = document.find_team(team);
-        const kind_settings* declared =
-            settings == nullptr ? nullptr : settings->find_kind(kind);
-        if (declared != nullptr)
-        {
-            found.repeatable = declared->repeatable();
-            found.run_time = declared->run_time();
-            found.memory_mb = declared->memory_mb();
-        }
-        return found;
-    };
     job_reason why;
     auto job =
-        submission::parse(request.job, submission_limits(), defaults, why);
+        submission::parse(request.job, submission_limits(),
+                          kind_defaults_of(this->config.document()), why);
     if (!job)
     {
         this->reply_error(token, 400, "malformed", why.message());
@@ -550,9 +537,7 @@
     const std::string text = next.job.id();
     if (!this->issuer.owns(id))
     {
-        if (id.instance() == this->options.self.name ||
-            this->members.table().is_dead(id.instance(), id.incarnation(),
-                                          this->now))
+        if (this->is_gone(id.instance(), id.incarnation()))
         {
             this->reply(next.token, text,
                         outcome::failed(outcome_reason::instance_dead,
--- a/src/libjujubedrum/engine/request_filter.cpp
+++ b/src/libjujubedrum/engine/request_filter.cpp
@@ -18,20 +18,6 @@
     return api_reply(api_error{status, std::move(code), std::move(text)});
 }
 
-bool same_digest(const std::string& left, const std::string& right)
-{
-    return left.size() == right.size() &&
-           CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
-}
-
-bool holds_token(const team_settings& team, const std::string& digest)
-{
-    const auto& digests = team.caller_token_sha256();
-    return std::any_of(digests.begin(), digests.end(),
-                       [&digest](const std::string& known)
-                       { return same_digest(known, digest); });
-}
-
 int status_of(job_error code)
 {
     switch (code)
@@ -57,11 +43,9 @@
         limits.max_payload_bytes = system.max_payload_bytes();
         limits.max_body_bytes = system.max_body_bytes();
         limits.max_run_time = system.max_run_time();
-        const kind_defaults defaults =
-            [&context](const std::string& team, const std::string& kind)
-        { return lookup(context.config, team, kind); };
         job_reason why;
-        context.job = submission::parse(context.body, limits, defaults, why);
+        context.job = submission::parse(context.body, limits,
+                                        kind_defaults_of(context.config), why);
         if (context.job)
         {
             return std::nullopt;
@@ -71,24 +55,6 @@
                                                           : "malformed",
                        why.message());
     }
-
-private:
-    static kind_default lookup(const document& config, const std::string& team,
-                               const std::string& kind)
-    {
-        const team_settings* settings = config.find_team(team);
-        const kind_settings* declared =
-            settings == nullptr ? nullptr : settings->find_kind(kind);
-        if (declared == nullptr)
-        {
-            return {};
-        }
-        kind_default defaults;
-        defaults.repeatable = declared->repeatable();
-        defaults.run_time = declared->run_time();
-        defaults.memory_mb = declared->memory_mb();
-        return defaults;
-    }
 };
 
 class authenticate_filter : public request_filter
@@ -134,6 +100,36 @@
 
 } // namespace
 
+kind_defaults kind_defaults_of(const document& config)
+{
+    return [&config](const std::string& team, const std::string& kind)
+    {
+        kind_default defaults;
+        const team_settings* settings = config.find_team(team);
+        const kind_settings* declared =
+            settings == nullptr ? nullptr : settings->find_kind(kind);
+        if (declared != nullptr)
+        {
+            defaults.repeatable = declared->repeatable();
+            defaults.run_time = declared->run_time();
+            defaults.memory_mb = declared->memory_mb();
+        }
+        return defaults;
+    };
+}
+
+bool holds_digest(const std::vector<std::string>& known,
+                  const std::string& digest)
+{
+    return std::any_of(known.begin(), known.end(),
+                       [&digest](const std::string& entry)
+                       {
+                           return entry.size() == digest.size() &&
+                                  CRYPTO_memcmp(entry.data(), digest.data(),
+                                                digest.size()) == 0;
+                       });
+}
+
 filter_chain filter_chain::for_submissions()
 {
     filter_chain chain;
@@ -167,7 +163,8 @@
     }
     const std::string digest = sha256_hex(token);
     const team_settings* settings = config.find_team(team);
-    if (settings != nullptr && holds_token(*settings, digest))
+    if (settings != nullptr &&
+        holds_digest(settings->caller_token_sha256(), digest))
     {
         return std::nullopt;
     }
@@ -185,7 +182,7 @@
     const std::string digest = sha256_hex(token);
     for (const std::string& name : config.team_names())
     {
-        if (holds_token(*config.find_team(name), digest))
+        if (holds_digest(config.find_team(name)->caller_token_sha256(), digest))
         {
             return name;
         }
--- a/src/libjujubedrum/engine/request_filter.hpp
+++ b/src/libjujubedrum/engine/request_filter.hpp
@@ -55,6 +55,15 @@
     std::vector<std::unique_ptr<request_filter>> filters;
 };
 
+/// Returns the defaults for kinds of tasks that the teams' sections declare.
+/// \param config must outlive the returned function.
+[[nodiscard]] kind_defaults kind_defaults_of(const document& config);
+
+/// Returns whether a token's SHA-256 digest is one of the known ones. Compares
+/// in constant time, so that the time tells nothing of a digest.
+[[nodiscard]] bool holds_digest(const std::vector<std::string>& known,
+                                const std::string& digest);
+
 /// Returns the refusal if the token does not belong to the team.
 [[nodiscard]] std::optional<api_reply> authenticate(const document& config,
                                                     const std::string& team,
--- a/src/libruntime/http_frontend.cpp
+++ b/src/libruntime/http_frontend.cpp
@@ -9,7 +9,6 @@
 #include <utility>
 
 #include <nlohmann/json.hpp>
-#include <openssl/crypto.h>
 
 namespace jujubedrum
 {
@@ -68,20 +67,6 @@
            address.starts_with("::ffff:127.");
 }
 
-bool holds_digest(const std::vector<std::string>& digests,
-                  const std::string& token)
-{
-    // Compared in constant time, so that the time tells nothing of a digest.
-    const std::string digest = sha256_hex(token);
-    return std::any_of(digests.begin(), digests.end(),
-                       [&digest](const std::string& known)
-                       {
-                           return known.size() == digest.size() &&
-                                  CRYPTO_memcmp(known.data(), digest.data(),
-                                                digest.size()) == 0;
-                       });
-}
-
 /// Returns what a team may see of a state dump.
 std::string part_of_team(const std::string& dump, const std::string& team)
 {
@@ -396,7 +381,7 @@
                           "Authorization: Bearer TOKEN");
         return std::nullopt;
     }
-    if (holds_digest(operators, token))
+    if (holds_digest(operators, sha256_hex(token)))
     {
         return std::string();
     }
