Test the dispatcher, the election and the platform's codecs

Cause: a task that failed on the only server with room was never started again: the penalty for that server made it miss the objective, while the server itself counted as a faster one to wait for. The new test server_failing_one_job_stays_in_use failed on it. Ruled out: the ejection of the server, which stays at one failure for a job.

--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -277,15 +277,15 @@
             continue;
         }
         double ms = this->expected_ms(record, step);
+        if (task.failures + task.moves > 0 && task.server == id)
+        {
+            ms *= overdue_factor;
+        }
         fastest_ms = std::min(fastest_ms, ms);
         if (!record.fits(step.room))
         {
             continue;
         }
-        if (task.failures + task.moves > 0 && task.server == id)
-        {
-            ms *= overdue_factor;
-        }
         if (step.most_per_server > 0)
         {
             const auto here = std::count_if(
--- /dev/null
+++ b/tests/unit/dispatch/dispatch_fixture.cpp
@@ -0,0 +1,107 @@
+#include "dispatch_fixture.hpp"
+
+namespace jujubedrum
+{
+
+void dispatch_fixture::start(const std::string& server, const run_id& run,
+                             const std::string&)
+{
+    this->starts.emplace_back(server, run);
+}
+
+void dispatch_fixture::stop(const std::string& server, const run_id& run)
+{
+    this->stops.emplace_back(server, run);
+}
+
+void dispatch_fixture::look(const std::string& server)
+{
+    this->looks.push_back(server);
+}
+
+void dispatch_fixture::job_ended(const job_origin& origin,
+                                 const job_result& result,
+                                 const job_report& report)
+{
+    this->ended.push_back({origin, result, report});
+}
+
+void dispatch_fixture::add_server(const std::string& id, std::uint32_t cpu,
+                                  std::vector<std::string> labels)
+{
+    server_info info;
+    info.id = id;
+    info.service = "service";
+    info.domain = "d1";
+    info.capacity = {cpu, 32768, 0};
+    info.labels = std::move(labels);
+    this->dispatcher.set_server(info);
+    this->dispatcher.set_reachable(id, true, this->now);
+}
+
+job_request dispatch_fixture::make_job(const std::string& id,
+                                       std::uint32_t tasks,
+                                       milliseconds estimate, std::uint32_t cpu)
+{
+    job_request job;
+    job.id = id;
+    job.payload = "payload";
+    job_step step;
+    step.count = tasks;
+    step.room = {cpu, 64, 0};
+    step.estimate = estimate;
+    job.steps.push_back(step);
+    return job;
+}
+
+job_terms dispatch_fixture::make_terms()
+{
+    job_terms terms;
+    terms.service = "service";
+    terms.max_attempts = 3;
+    terms.stretch = 1.6;
+    terms.target = milliseconds(60);
+    terms.time_left = milliseconds(1500);
+    return terms;
+}
+
+void dispatch_fixture::submit(const job_request& job, std::uint64_t ticket)
+{
+    this->dispatcher.submit(job, make_terms(), {0, ticket}, this->now);
+}
+
+void dispatch_fixture::accept_all()
+{
+    for (const auto& [server, run] : this->starts)
+    {
+        this->dispatcher.on_start_result(server, run, start_verdict::accepted,
+                                         this->now);
+    }
+}
+
+void dispatch_fixture::end_run(const std::string& server, const run_id& run,
+                               run_end how)
+{
+    server_listing listing;
+    listing.verdict = look_verdict::listed;
+    listing.ended.push_back({this->next_end++, run, how});
+    // Asked before any order was settled, so that only the end counts.
+    this->dispatcher.on_listing(server, listing, instant(0), this->now);
+}
+
+void dispatch_fixture::list(const std::string& server,
+                            std::vector<running_row> running)
+{
+    server_listing listing;
+    listing.verdict = look_verdict::listed;
+    listing.running = std::move(running);
+    this->dispatcher.on_listing(server, listing, this->now, this->now);
+}
+
+void dispatch_fixture::advance(milliseconds by)
+{
+    this->now += by;
+    this->dispatcher.pump(this->now);
+}
+
+} // namespace jujubedrum
--- /dev/null
+++ b/tests/unit/dispatch/peer_message_test.cpp
@@ -0,0 +1,72 @@
+#include "node/peer_message.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+constexpr std::size_t length_bytes = 4;
+
+dispatch_message copy_of(const dispatch_message& message)
+{
+    const std::string frame = encode_frame(message);
+    std::string why;
+    const auto decoded =
+        decode_message(std::string_view(frame).substr(length_bytes), why);
+    BOOST_REQUIRE_MESSAGE(decoded, why);
+    return *decoded;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(peer_message_suite)
+
+BOOST_AUTO_TEST_CASE(submit_encoded_and_decoded_is_equal)
+{
+    submit_message message;
+    message.ticket = 9;
+    message.request.id = "00112233445566aa";
+    message.request.payload = "text";
+    job_step step;
+    step.count = 3;
+    step.room = {6800, 64, 1};
+    step.estimate = milliseconds(70);
+    step.label = "b";
+    step.data_rack = "r1-2";
+    step.most_per_server = 2;
+    message.request.steps = {step, step};
+    message.request.steps[1].after = {0};
+    message.terms = {"service",         2, 3, 1.6, milliseconds(60),
+                     milliseconds(1500)};
+    BOOST_CHECK(copy_of(message) == dispatch_message(message));
+}
+
+BOOST_AUTO_TEST_CASE(hello_and_others_encoded_and_decoded_are_equal)
+{
+    hello_message hello;
+    hello.instance = {"e1", 77, "d1", 250, true, {{{"d1", 3}, 4096}}};
+    hello.load = {100, 50, 25, 12.5};
+    const std::vector<dispatch_message> messages{
+        hello,
+        result_message{
+            5, {job_outcome::refused, "busy", milliseconds(200)}, {1, 2, 3, 4}},
+        cancel_message{"id", "left"}, release_message{{"s1", "s2"}}};
+    for (const dispatch_message& message : messages)
+    {
+        BOOST_CHECK(copy_of(message) == message);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(decode_junk_gives_a_reason)
+{
+    std::string why;
+    BOOST_TEST(!decode_message(std::string(64, '\xff'), why).has_value());
+    BOOST_TEST(!why.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubedrum
--- /dev/null
+++ b/tests/unit/dispatch/pool_dispatcher_test.cpp
@@ -0,0 +1,323 @@
+#include "dispatch_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+namespace jujubedrum
+{
+
+BOOST_FIXTURE_TEST_SUITE(pool_dispatcher_suite, dispatch_fixture)
+
+// A partial answer would be taken for the whole one.
+BOOST_AUTO_TEST_CASE(job_last_task_done_completes_once)
+{
+    this->add_server("s1");
+    this->submit(make_job("a", 2));
+    BOOST_REQUIRE_EQUAL(this->starts.size(), 2);
+    this->accept_all();
+    this->end_run("s1", this->starts[0].second);
+    BOOST_TEST(this->ended.empty());
+    this->end_run("s1", this->starts[1].second);
+    BOOST_REQUIRE_EQUAL(this->ended.size(), 1);
+    BOOST_CHECK(this->ended[0].result.outcome == job_outcome::completed);
+    BOOST_TEST(this->dispatcher.idle());
+}
+
+// Ends are listed again until they are acknowledged.
+BOOST_AUTO_TEST_CASE(end_listed_twice_counts_once)
+{
+    this->add_server("s1");
+    this->submit(make_job("a", 2));
+    this->accept_all();
+    this->end_run("s1", this->starts[0].second);
+    this->end_run("s1", this->starts[0].second);
+    BOOST_TEST(this->ended.empty());
+    BOOST_TEST(this->starts.size() == 2);
+}
+
+// Servers reject what does not fit, and each such start is wasted.
+BOOST_AUTO_TEST_CASE(start_server_full_waits_for_room)
+{
+    this->add_server("s1");
+    this->submit(make_job("a", 3));
+    BOOST_REQUIRE_EQUAL(this->starts.size(), 2);
+    this->accept_all();
+    this->end_run("s1", this->starts[0].second);
+    BOOST_TEST(this->starts.size() == 3);
+}
+
+// A second start while the first may still be carried out doubles a task.
+BOOST_AUTO_TEST_CASE(start_unanswered_not_repeated_before_it_is_settled)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->submit(make_job("a", 1));
+    const auto [server, run] = this->starts.at(0);
+    this->dispatcher.on_start_result(server, run, start_verdict::unanswered,
+                                     this->now);
+    BOOST_TEST(this->looks.size() == 1);
+    this->advance(milliseconds(20));
+    this->list(server, {});
+    BOOST_TEST(this->starts.size() == 1);
+    BOOST_REQUIRE_EQUAL(this->stops.size(), 1);
+    this->dispatcher.on_stopped(server, run, this->now);
+    this->advance(milliseconds(1));
+    this->list(server, {});
+    BOOST_REQUIRE_EQUAL(this->starts.size(), 2);
+    BOOST_TEST(this->starts[1].second.run == run.run + 1);
+}
+
+// The answer alone was lost: stopping the run would throw its work away.
+BOOST_AUTO_TEST_CASE(start_unanswered_but_listed_runs_on)
+{
+    this->add_server("s1");
+    this->submit(make_job("a", 1));
+    const auto [server, run] = this->starts.at(0);
+    this->dispatcher.on_start_result(server, run, start_verdict::unanswered,
+                                     this->now);
+    this->advance(milliseconds(5));
+    this->list(server, {{run, 10}});
+    BOOST_TEST(this->stops.empty());
+    this->end_run(server, run);
+    BOOST_REQUIRE_EQUAL(this->ended.size(), 1);
+    BOOST_CHECK(this->ended[0].result.outcome == job_outcome::completed);
+}
+
+// Without the stop's answer the order's own validity has to end first.
+BOOST_AUTO_TEST_CASE(start_unanswered_stop_lost_repeated_after_validity)
+{
+    this->add_server("s1");
+    this->submit(make_job("a", 1));
+    const auto [server, run] = this->starts.at(0);
+    this->dispatcher.on_start_result(server, run, start_verdict::unanswered,
+                                     this->now);
+    this->advance(milliseconds(200));
+    this->list(server, {});
+    BOOST_TEST(this->starts.size() == 1);
+    this->advance(milliseconds(300));
+    this->list(server, {});
+    BOOST_TEST(this->starts.size() == 2);
+}
+
+// A rejected start has not run and must not count as an attempt.
+BOOST_AUTO_TEST_CASE(start_without_room_tried_elsewhere)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->submit(make_job("a", 1));
+    const auto [server, run] = this->starts.at(0);
+    this->dispatcher.on_start_result(server, run, start_verdict::no_room,
+                                     this->now);
+    this->advance(milliseconds(1));
+    BOOST_REQUIRE_EQUAL(this->starts.size(), 2);
+    BOOST_TEST(this->starts[1].first != server);
+}
+
+BOOST_AUTO_TEST_CASE(task_failed_often_enough_fails_the_job)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->submit(make_job("a", 1));
+    for (std::size_t attempt = 0; attempt < 3; ++attempt)
+    {
+        BOOST_REQUIRE_EQUAL(this->starts.size(), attempt + 1);
+        const auto [server, run] = this->starts[attempt];
+        this->dispatcher.on_start_result(server, run, start_verdict::accepted,
+                                         this->now);
+        this->end_run(server, run, run_end::failed);
+    }
+    BOOST_REQUIRE_EQUAL(this->ended.size(), 1);
+    BOOST_CHECK(this->ended[0].result.outcome == job_outcome::failed);
+}
+
+// The caller's next attempt may start at another holder.
+BOOST_AUTO_TEST_CASE(origin_lost_stops_its_tasks)
+{
+    this->add_server("s1");
+    this->dispatcher.submit(make_job("a", 1), make_terms(), {7, 1}, this->now);
+    this->accept_all();
+    this->dispatcher.cancel_origin(7, "lost", this->now);
+    BOOST_TEST(this->stops.size() == 1);
+    BOOST_TEST(!this->dispatcher.idle());
+    this->end_run("s1", this->starts[0].second, run_end::stopped);
+    BOOST_TEST(this->dispatcher.idle());
+}
+
+// The same id again while the old run is being stopped: no two at a time.
+BOOST_AUTO_TEST_CASE(resubmission_old_run_stopping_waits_for_its_end)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->submit(make_job("a", 1), 1);
+    this->accept_all();
+    this->dispatcher.cancel("a", "caller left", this->now);
+    this->submit(make_job("a", 1), 2);
+    BOOST_TEST(this->starts.size() == 1);
+    this->end_run(this->starts[0].first, this->starts[0].second,
+                  run_end::stopped);
+    BOOST_REQUIRE_EQUAL(this->starts.size(), 2);
+    BOOST_TEST(this->starts[1].second.run == 2);
+}
+
+// The caller lost its connection and came back: one job, one run.
+BOOST_AUTO_TEST_CASE(resubmission_job_open_answers_the_new_attempt)
+{
+    this->add_server("s1");
+    this->submit(make_job("a", 1), 1);
+    this->submit(make_job("a", 1), 2);
+    BOOST_TEST(this->starts.size() == 1);
+    this->accept_all();
+    this->end_run("s1", this->starts[0].second);
+    BOOST_REQUIRE_EQUAL(this->ended.size(), 1);
+    BOOST_TEST(this->ended[0].origin.ticket == 2);
+}
+
+// A refusal after a long wait costs the caller the time to go elsewhere.
+BOOST_AUTO_TEST_CASE(submission_queue_too_long_refused_at_once)
+{
+    this->add_server("s1");
+    for (int i = 0; i < 40; ++i)
+    {
+        this->submit(make_job("job" + std::to_string(i), 2));
+    }
+    BOOST_REQUIRE(!this->ended.empty());
+    const ended_job& first = this->ended.front();
+    BOOST_CHECK(first.result.outcome == job_outcome::refused);
+    BOOST_TEST(first.report.starts == 0);
+    BOOST_TEST(first.result.retry_after.count() > 0);
+}
+
+// A refusal that says "not run" has to be true.
+BOOST_AUTO_TEST_CASE(job_out_of_time_refused_only_if_nothing_started)
+{
+    this->add_server("s1", 7000);
+    this->submit(make_job("a", 2));
+    this->accept_all();
+    this->advance(milliseconds(1600));
+    BOOST_REQUIRE_EQUAL(this->ended.size(), 1);
+    BOOST_CHECK(this->ended[0].result.outcome == job_outcome::incomplete);
+}
+
+BOOST_AUTO_TEST_CASE(submission_no_server_fits_refused)
+{
+    this->add_server("s1", 4000);
+    this->submit(make_job("a", 1));
+    BOOST_REQUIRE_EQUAL(this->ended.size(), 1);
+    BOOST_CHECK(this->ended[0].result.outcome == job_outcome::refused);
+}
+
+// Runs on a server whose lease ended are gone and may run elsewhere.
+BOOST_AUTO_TEST_CASE(runs_gone_started_elsewhere)
+{
+    this->add_server("s1");
+    this->submit(make_job("a", 1));
+    this->accept_all();
+    this->add_server("s2");
+    this->dispatcher.set_reachable("s1", false, this->now);
+    this->dispatcher.on_runs_gone("s1", this->now);
+    this->advance(milliseconds(1));
+    BOOST_REQUIRE_EQUAL(this->starts.size(), 2);
+    BOOST_TEST(this->starts[1].first == "s2");
+}
+
+// Another holder stops what runs there, at a time unknown here.
+BOOST_AUTO_TEST_CASE(server_abandoned_jobs_end_incomplete)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->submit(make_job("a", 1));
+    this->accept_all();
+    this->dispatcher.abandon_server(this->starts[0].first, this->now);
+    BOOST_REQUIRE_EQUAL(this->ended.size(), 1);
+    BOOST_CHECK(this->ended[0].result.outcome == job_outcome::incomplete);
+    BOOST_TEST(this->starts.size() == 1);
+}
+
+// A server that fails all it starts ends tasks fast and would attract more.
+BOOST_AUTO_TEST_CASE(server_failing_all_gets_no_more)
+{
+    this->add_server("bad");
+    for (int i = 0; i < 3; ++i)
+    {
+        this->submit(make_job("job" + std::to_string(i), 1));
+        const auto [server, run] = this->starts.back();
+        this->dispatcher.on_start_result(server, run, start_verdict::accepted,
+                                         this->now);
+        this->add_server("good" + std::to_string(i), 0);
+        this->end_run(server, run, run_end::failed);
+        this->dispatcher.cancel("job" + std::to_string(i), "test", this->now);
+    }
+    BOOST_TEST(this->dispatcher.load(this->now).total_cpu == 0);
+}
+
+// One job that fails everywhere must not take servers out of use.
+BOOST_AUTO_TEST_CASE(server_failing_one_job_stays_in_use)
+{
+    this->add_server("s1");
+    auto terms = make_terms();
+    terms.max_attempts = 10;
+    this->dispatcher.submit(make_job("a", 1), terms, {0, 1}, this->now);
+    for (std::size_t i = 0; i < 6; ++i)
+    {
+        const auto [server, run] = this->starts.at(i);
+        this->dispatcher.on_start_result(server, run, start_verdict::accepted,
+                                         this->now);
+        this->end_run(server, run, run_end::failed);
+    }
+    BOOST_TEST(this->dispatcher.load(this->now).total_cpu == 16000);
+}
+
+// A task that stands still is moved once its server shows no progress.
+BOOST_AUTO_TEST_CASE(run_without_progress_moved)
+{
+    this->add_server("s1");
+    this->submit(make_job("a", 1));
+    this->accept_all();
+    this->add_server("s2");
+    this->advance(milliseconds(400));
+    BOOST_REQUIRE(!this->looks.empty());
+    this->list("s1", {{this->starts[0].second, 0}});
+    this->advance(milliseconds(50));
+    BOOST_REQUIRE_EQUAL(this->stops.size(), 1);
+    this->end_run("s1", this->starts[0].second, run_end::stopped);
+    BOOST_REQUIRE_EQUAL(this->starts.size(), 2);
+    BOOST_TEST(this->starts[1].first == "s2");
+}
+
+BOOST_AUTO_TEST_CASE(step_after_another_starts_when_that_ended)
+{
+    this->add_server("s1");
+    job_request job = make_job("a", 1);
+    job_step second = job.steps[0];
+    second.after = {0};
+    job.steps.push_back(second);
+    this->submit(job);
+    BOOST_REQUIRE_EQUAL(this->starts.size(), 1);
+    this->accept_all();
+    this->end_run("s1", this->starts[0].second);
+    BOOST_REQUIRE_EQUAL(this->starts.size(), 2);
+    BOOST_TEST(this->starts[1].second.task.step == 1);
+}
+
+BOOST_AUTO_TEST_CASE(step_with_label_and_spread_obeyed)
+{
+    this->add_server("s1", 32000, {"a"});
+    this->add_server("s2", 32000, {"b"});
+    this->add_server("s3", 32000, {"b"});
+    job_request job = make_job("a", 3);
+    job.steps[0].label = "b";
+    job.steps[0].most_per_server = 1;
+    this->submit(job);
+    BOOST_REQUIRE_EQUAL(this->starts.size(), 2);
+    std::set<std::string> used;
+    for (const auto& [server, run] : this->starts)
+    {
+        used.insert(server);
+    }
+    BOOST_CHECK((used == std::set<std::string>{"s2", "s3"}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubedrum
--- /dev/null
+++ b/tests/unit/dispatch/pool_election_test.cpp
@@ -0,0 +1,97 @@
+#include "dispatch/pool_election.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+instance_view make_instance(const std::string& name, const std::string& domain,
+                            std::uint32_t cpu = 250)
+{
+    instance_view view;
+    view.name = name;
+    view.domain = domain;
+    view.cpu = cpu;
+    return view;
+}
+
+const std::map<std::string, std::size_t> one_domain{{"d1", 16}};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(pool_election_suite)
+
+BOOST_AUTO_TEST_CASE(pools_no_holder_taken_by_first_candidate_only)
+{
+    const auto a = make_instance("a", "d1");
+    const auto b = make_instance("b", "d1");
+    BOOST_TEST(pool_election::to_take(a, {b}, one_domain).size() ==
+               pools_per_domain);
+    BOOST_TEST(pool_election::to_take(b, {a}, one_domain).empty());
+}
+
+// Small machines would be overrun by a pool.
+BOOST_AUTO_TEST_CASE(pools_no_holder_taken_by_largest_instance)
+{
+    const auto small = make_instance("a", "d1", 90);
+    const auto large = make_instance("b", "d1", 500);
+    BOOST_TEST(pool_election::to_take(small, {large}, one_domain).empty());
+    BOOST_TEST(!pool_election::to_take(large, {small}, one_domain).empty());
+}
+
+BOOST_AUTO_TEST_CASE(pools_many_servers_shared_among_instances)
+{
+    const auto a = make_instance("a", "d1");
+    const auto b = make_instance("b", "d1");
+    const std::map<std::string, std::size_t> many{{"d1", 80}};
+    BOOST_TEST(pool_election::to_take(a, {b}, many).size() ==
+               pools_per_domain / 2);
+    BOOST_TEST(pool_election::to_take(b, {a}, many).size() ==
+               pools_per_domain / 2);
+}
+
+// A live holder keeps its pools, or each newcomer would cost a takeover.
+BOOST_AUTO_TEST_CASE(pools_held_left_alone)
+{
+    auto holder = make_instance("z", "d1");
+    for (std::uint32_t shard = 0; shard < pools_per_domain; ++shard)
+    {
+        holder.holds.push_back({{"d1", shard}, 5});
+    }
+    const auto a = make_instance("a", "d1");
+    BOOST_TEST(pool_election::to_take(a, {holder}, one_domain).empty());
+    holder.draining = true;
+    BOOST_TEST(pool_election::to_take(a, {holder}, one_domain).size() ==
+               pools_per_domain);
+}
+
+// An instance of another domain reaches the servers over longer links.
+BOOST_AUTO_TEST_CASE(pools_held_by_foreign_instance_taken_home)
+{
+    auto foreign = make_instance("z", "d2");
+    for (std::uint32_t shard = 0; shard < pools_per_domain; ++shard)
+    {
+        foreign.holds.push_back({{"d1", shard}, 5});
+    }
+    const auto home = make_instance("a", "d1");
+    BOOST_TEST(pool_election::to_take(home, {foreign}, one_domain).size() ==
+               pools_per_domain);
+}
+
+BOOST_AUTO_TEST_CASE(pool_higher_token_elsewhere_given_up)
+{
+    auto self = make_instance("a", "d1");
+    self.holds = {{{"d1", 0}, 5}, {{"d1", 1}, 9}};
+    auto other = make_instance("b", "d1");
+    other.holds = {{{"d1", 0}, 6}, {{"d1", 1}, 8}};
+    const auto lost = pool_election::to_give_up(self, {other});
+    BOOST_REQUIRE_EQUAL(lost.size(), 1);
+    BOOST_TEST(lost[0].shard == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubedrum
