Count room in pieces that fit a task

Change: free and total room are rounded down to tasks of the usual size. Ruled out: the mean run time, which follows from the runs that end.

--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds order_slack{100};
 /// Weight of one run in the mean run time.
 constexpr double mean_run_rate = 0.02;
+/// Weight of one job in the mean size of tasks.
+constexpr double mean_size_rate = 0.02;
 /// How often runs are compared with their expected time.
 constexpr milliseconds overdue_interval{40};
 /// A run is overdue after this multiple of its expected time, and at least
@@ -130,6 +132,7 @@
 void pool_dispatcher::submit(job_request request, const job_terms& terms,
                              const job_origin& origin, instant now)
 {
+    this->learn_size(request);
     const auto at = this->jobs.find(request.id);
     pooled_job* job = nullptr;
     if (at != this->jobs.end())
@@ -805,6 +808,30 @@
     return at != this->servers.end() && !at->second.runs.empty();
 }
 
+std::uint64_t pool_dispatcher::usable_cpu(std::uint32_t cpu) const
+{
+    if (this->mean_task_cpu < 1)
+    {
+        return cpu;
+    }
+    // Room that is left over beside tasks of the usual size serves nobody.
+    const auto fitting = static_cast<std::uint64_t>(cpu / this->mean_task_cpu);
+    return fitting * static_cast<std::uint64_t>(this->mean_task_cpu);
+}
+
+void pool_dispatcher::learn_size(const job_request& request)
+{
+    for (const job_step& step : request.steps)
+    {
+        const double cpu = step.room.cpu;
+        this->mean_task_cpu =
+            this->mean_task_cpu < 1
+                ? cpu
+                : this->mean_task_cpu +
+                      mean_size_rate * (cpu - this->mean_task_cpu);
+    }
+}
+
 dispatch_load pool_dispatcher::load(instant now) const
 {
     dispatch_load result;
@@ -812,8 +839,9 @@
     {
         if (server.record.usable(now))
         {
-            result.total_cpu += server.record.info().capacity.cpu;
-            result.free_cpu += server.record.free_cpu();
+            const task_room& all = server.record.info().capacity;
+            result.total_cpu += this->usable_cpu(all.cpu);
+            result.free_cpu += this->usable_cpu(server.record.free_cpu());
         }
     }
     for (const auto& [key, job] : this->queue)
--- a/src/libjujubedrum/dispatch/pool_dispatcher.hpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.hpp
@@ -52,7 +52,7 @@
 struct dispatch_load
 {
     std::uint64_t total_cpu = 0;   ///< thousandths of a core, usable servers
-    std::uint64_t free_cpu = 0;    ///< of these
+    std::uint64_t free_cpu = 0;    ///< of these, in pieces that fit a task
     std::uint64_t waiting_cpu = 0; ///< wanted by tasks that wait
     double mean_run_ms = 100;      ///< mean run time of recent tasks
 
@@ -148,6 +148,10 @@
     [[nodiscard]] bool serviceable(const pooled_job& job, instant now) const;
     [[nodiscard]] milliseconds wait_of(const pooled_job& job,
                                        instant now) const;
+    /// Returns the part of a server's room that tasks of the usual size can
+    /// use.
+    [[nodiscard]] std::uint64_t usable_cpu(std::uint32_t cpu) const;
+    void learn_size(const job_request& request);
     void refuse_hopeless(pooled_job& job, instant now);
     void check_deadlines(instant now);
 
@@ -161,6 +165,7 @@
     std::set<std::pair<instant, std::string>> deadlines;
     std::uint64_t next_sequence = 1;
     double mean_run_ms = 100;
+    double mean_task_cpu = 0; ///< of recent tasks; 0: none yet
     instant next_overdue_check{0};
 };
 
