--- a/src/libruntime/node/server_session.cpp
+++ b/src/libruntime/node/server_session.cpp
@@ -12,7 +12,7 @@
 
 /// How long a look waits for an end. A look whose answer is lost hides the
 /// ends of a busy server for as long; an idle one is looked at for its health.
-constexpr milliseconds busy_look_wait{150};
+constexpr milliseconds busy_look_wait{90};
 constexpr milliseconds idle_look_wait{400};
 /// Looks without an answer after which a server gets no new tasks.
 constexpr std::uint32_t silences_to_suspect = 2;
