Dial new lives at once; leave cut-off domains their pools

During the zone cut before, an instance of another domain took the pools of servers that it could not reach, and its refused tokens broke jobs. Change: a dial to an older life is given up when a newer one is announced; pools of another domain are taken only while their servers write entries. Ruled out: a longer settling time, which delays each restart.

--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -27,6 +27,8 @@
 /// been heard of, before pools of that domain are taken. Just after a cut this
 /// instance has not yet found the others again.
 constexpr milliseconds foreign_patience{5000};
+/// Servers write their entries each 1.5 s.
+constexpr milliseconds foreign_news{3000};
 /// Tokens from the store leave room for those derived without it.
 constexpr std::uint64_t tokens_per_fence = 1024;
 /// For orders on their way when a lease of an earlier holder ended.
@@ -623,6 +625,7 @@
         const bool reborn =
             known.info.born != 0 && known.info.born != change.info->born;
         known.info = *change.info;
+        known.seen = now;
         known.missing_since.reset();
         const auto at = this->sessions.find(change.id);
         if (at != this->sessions.end())
@@ -690,6 +693,25 @@
             this->mesh.unreached() == 0);
 }
 
+std::map<std::string, std::size_t> dispatch_node::electable_servers() const
+{
+    const instant now = event_loop::now();
+    const bool foreign =
+        this->store_reachable && now - this->store_since >= foreign_patience;
+    std::map<std::string, std::size_t> counts;
+    for (const auto& [id, server] : this->servers)
+    {
+        const bool home = server.info.domain == this->settings.domain();
+        // In a cut both the servers and the instances of the other domain are
+        // silent; without instances its servers still write their entries.
+        if (home || (foreign && now - server.seen <= foreign_news))
+        {
+            ++counts[server.info.domain];
+        }
+    }
+    return counts;
+}
+
 void dispatch_node::elect()
 {
     if (this->draining || !this->may_elect())
@@ -702,18 +724,7 @@
     {
         this->give_up(pool, "another holder has a higher token");
     }
-    // Another domain may merely be slow to start, or cut off for a moment.
-    const bool foreign =
-        this->store_reachable &&
-        event_loop::now() - this->store_since >= foreign_patience;
-    std::map<std::string, std::size_t> counts;
-    for (const auto& [id, server] : this->servers)
-    {
-        if (foreign || server.info.domain == this->settings.domain())
-        {
-            ++counts[server.info.domain];
-        }
-    }
+    const auto counts = this->electable_servers();
     for (const pool_id& pool : pool_election::to_take(self, live, counts))
     {
         const auto lost = this->lost_until.find(pool);
--- a/src/libruntime/node/dispatch_node.hpp
+++ b/src/libruntime/node/dispatch_node.hpp
@@ -75,6 +75,7 @@
     struct known_server
     {
         server_info info;
+        instant seen{0};                      ///< last news of its entry
         std::optional<instant> missing_since; ///< its entry is gone
     };
     /// A holder whose link broke, and the jobs it had from here.
@@ -122,6 +123,8 @@
     void announce_self();
     [[nodiscard]] bool may_elect() const;
     void elect();
+    /// Returns the servers whose pools may be taken, by failure domain.
+    [[nodiscard]] std::map<std::string, std::size_t> electable_servers() const;
     /// Sends jobs of lost holders to others once their runs are gone.
     void resubmit_orphans();
     /// Answers jobs of lost holders that their callers give up.
--- a/src/libruntime/node/peer_mesh.cpp
+++ b/src/libruntime/node/peer_mesh.cpp
@@ -104,6 +104,7 @@
     [[nodiscard]] bool is_closed() const { return this->closed; }
 
     std::string dialed_name; ///< member that was dialed; empty if accepted
+    std::uint64_t dialed_boot = 0;
     instant opened = event_loop::now();
 
 private:
@@ -329,19 +330,26 @@
     {
         return;
     }
-    const bool dialing =
-        std::any_of(this->links.begin(), this->links.end(),
-                    [&member](const auto& entry) {
-                        return entry.second->dialed_name == member.record.name;
-                    });
-    if (dialing)
+    const auto dialing =
+        std::find_if(this->links.begin(), this->links.end(),
+                     [&member](const auto& entry) {
+                         return entry.second->dialed_name == member.record.name;
+                     });
+    if (dialing != this->links.end())
     {
-        return;
+        if (dialing->second->dialed_boot == member.record.boot)
+        {
+            return;
+        }
+        // That attempt went to a machine without power, which answers nothing.
+        dialing->second->abandon();
+        this->links.erase(dialing);
     }
     const std::uint64_t number = this->next_link++;
     const auto added = std::make_shared<link>(
         *this, number, tcp::socket(this->loop.context()));
     added->dialed_name = member.record.name;
+    added->dialed_boot = member.record.boot;
     this->links.emplace(number, added);
     added->connect({address, member.record.port});
 }
