Test instances against stand-ins of the users' platform

Change: stand-ins for the store and the backend servers of the users' platform (standins/users), ten cases that run whole instances on one event loop: a killed holder, the store down, all restarted, a planned stop, lost and late starts, a crashed server. Timers end with the object that set them: the first run of the cases crashed in a timer of a destroyed instance.

--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -850,7 +850,7 @@
     lease.longest = this->settings.longest_lease();
     const pool_id pool = pool_of(info);
     const auto session = server_session::create(
-        this->loop, info, token, lease, this->channels.open(info),
+        this->loop.events(), info, token, lease, this->channels.open(info),
         this->dispatcher,
         [this, pool, id = info.id]
         {
@@ -974,6 +974,9 @@
 {
     const instant now = event_loop::now();
     const dispatch_load load = this->dispatcher.load(now);
+    const auto reachable = std::count_if(
+        this->sessions.begin(), this->sessions.end(),
+        [](const auto& entry) { return entry.second->is_reachable(); });
     nlohmann::json out{{"instance", this->settings.instance()},
                        {"domain", this->settings.domain()},
                        {"boot", this->boot},
@@ -985,6 +988,7 @@
                        {"pool_jobs", this->dispatcher.open_jobs()},
                        {"servers_known", this->servers.size()},
                        {"servers_held", this->sessions.size()},
+                       {"servers_reachable", reachable},
                        {"total_cpu", load.total_cpu},
                        {"free_cpu", load.free_cpu},
                        {"waiting_cpu", load.waiting_cpu},
--- a/src/libruntime/node/dispatch_node.hpp
+++ b/src/libruntime/node/dispatch_node.hpp
@@ -148,7 +148,7 @@
     [[nodiscard]] bool ends_in_time(const job_request& request,
                                     const job_terms& terms) const;
 
-    event_loop& loop;
+    loop_scope loop;
     node_settings settings;
     std::uint64_t boot;
     shared_store& store;
--- a/src/libruntime/node/event_loop.cpp
+++ b/src/libruntime/node/event_loop.cpp
@@ -38,10 +38,35 @@
 
 void event_loop::run()
 {
-    this->schedule_tick();
+    this->begin_ticks();
     this->io.run();
 }
 
+bool event_loop::run_until(const std::function<bool()>& condition,
+                           milliseconds limit)
+{
+    this->begin_ticks();
+    const instant end = now() + limit;
+    while (!condition())
+    {
+        if (now() >= end)
+        {
+            return false;
+        }
+        this->io.run_one_for(tick);
+    }
+    return true;
+}
+
+void event_loop::begin_ticks()
+{
+    if (!this->ticking)
+    {
+        this->ticking = true;
+        this->schedule_tick();
+    }
+}
+
 void event_loop::stop()
 {
     this->io.stop();
--- a/src/libruntime/node/event_loop.hpp
+++ b/src/libruntime/node/event_loop.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -38,8 +39,12 @@
     /// Runs until `stop`.
     void run();
     void stop();
+    /// Runs until the condition holds, for the time given at most. Returns
+    /// whether it holds.
+    bool run_until(const std::function<bool()>& condition, milliseconds limit);
 
 private:
+    void begin_ticks();
     void schedule_tick();
     void run_due();
 
@@ -47,6 +52,42 @@
     boost::asio::steady_timer timer;
     std::map<timer_id, std::function<void()>> timers;
     std::uint64_t next_number = 1;
+    bool ticking = false;
+};
+
+/// The event loop as one object sees it: timers that the object sets do not
+/// run after its end.
+class loop_scope
+{
+public:
+    explicit loop_scope(event_loop& events)
+        : loop(events)
+    {
+    }
+
+    [[nodiscard]] event_loop& events() const { return this->loop; }
+    [[nodiscard]] boost::asio::io_context& context() const
+    {
+        return this->loop.context();
+    }
+    /// Calls the function once, if the scope still exists.
+    event_loop::timer_id after(microseconds delay,
+                               std::function<void()> function)
+    {
+        return this->loop.after(delay,
+                                [alive = std::weak_ptr<int>(this->token),
+                                 function = std::move(function)]
+                                {
+                                    if (!alive.expired())
+                                    {
+                                        function();
+                                    }
+                                });
+    }
+
+private:
+    event_loop& loop;
+    std::shared_ptr<int> token = std::make_shared<int>(0);
 };
 
 } // namespace jujubedrum
--- a/src/libruntime/node/http_client.cpp
+++ b/src/libruntime/node/http_client.cpp
@@ -193,8 +193,12 @@
         this->shut();
         this->owner->on_idle(this->shared_from_this(), false);
         asio::post(this->owner->loop.context(),
-                   [done, result, why] {
-                       done({result, 0, "", why});
+                   [client = this->owner, done, result, why]
+                   {
+                       if (!client->closed)
+                       {
+                           done({result, 0, "", why});
+                       }
                    });
     }
 
--- a/src/libruntime/node/http_server.cpp
+++ b/src/libruntime/node/http_server.cpp
@@ -315,7 +315,7 @@
     {
         if (this->timer)
         {
-            this->owner.loop.cancel(*this->timer);
+            this->owner.loop.events().cancel(*this->timer);
             this->timer.reset();
         }
     }
--- a/src/libruntime/node/http_server.hpp
+++ b/src/libruntime/node/http_server.hpp
@@ -79,7 +79,7 @@
 
     void accept();
 
-    event_loop& loop;
+    loop_scope loop;
     std::string deadline_header;
     handler serve;
     request_limits limits;
--- a/src/libruntime/node/peer_mesh.cpp
+++ b/src/libruntime/node/peer_mesh.cpp
@@ -60,6 +60,10 @@
 
     void begin()
     {
+        if (this->closed)
+        {
+            return;
+        }
         set_socket_options(this->socket);
         this->ready = true;
         this->send(this->owner.hello_frame);
--- a/src/libruntime/node/peer_mesh.hpp
+++ b/src/libruntime/node/peer_mesh.hpp
@@ -117,7 +117,7 @@
     void every_interval();
     [[nodiscard]] bool linked(const std::string& name) const;
 
-    event_loop& loop;
+    loop_scope loop;
     member_record self;
     mesh_listener& listener;
     boost::asio::ip::tcp::acceptor acceptor;
--- a/src/libruntime/node/server_session.hpp
+++ b/src/libruntime/node/server_session.hpp
@@ -43,6 +43,7 @@
     [[nodiscard]] std::uint64_t token() const { return this->token_value; }
     /// Returns whether runs of earlier holders were found gone.
     [[nodiscard]] bool is_attached() const { return this->attached; }
+    [[nodiscard]] bool is_reachable() const { return this->reachable; }
     [[nodiscard]] const std::string& id() const { return this->id_value; }
 
 private:
--- /dev/null
+++ b/standins/users/log_store_standin.cpp
@@ -0,0 +1,258 @@
+#include "users/log_store_standin.hpp"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+constexpr milliseconds read_poll{10};
+
+std::string big_endian(std::uint64_t value, std::size_t bytes)
+{
+    std::string text;
+    for (std::size_t i = bytes; i-- > 0;)
+    {
+        text += static_cast<char>((value >> (8 * i)) & 0xffU);
+    }
+    return text;
+}
+
+std::string parameter(const std::string& target, const std::string& name)
+{
+    const auto query = target.find('?');
+    std::size_t at = target.find(name + "=", query);
+    if (query == std::string::npos || at == std::string::npos)
+    {
+        return "";
+    }
+    at += name.size() + 1;
+    return target.substr(at, target.find('&', at) - at);
+}
+
+std::string to_base64(const std::string& text)
+{
+    static const char* const digits =
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    std::string result;
+    std::uint32_t bits = 0;
+    int count = 0;
+    for (const char c : text)
+    {
+        bits = (bits << 8U) | static_cast<unsigned char>(c);
+        count += 8;
+        while (count >= 6)
+        {
+            count -= 6;
+            result += digits[(bits >> count) & 63U];
+        }
+    }
+    if (count > 0)
+    {
+        result += digits[(bits << (6 - count)) & 63U];
+    }
+    while (result.size() % 4 != 0)
+    {
+        result += '=';
+    }
+    return result;
+}
+
+} // namespace
+
+log_store_standin::log_store_standin(event_loop& events)
+    : loop(events)
+    , server(events, "X-None",
+             [this](const http_request& request, const auto& responder)
+             { this->serve(request, responder); })
+{
+}
+
+bool log_store_standin::listen()
+{
+    this->expire_reads();
+    return this->server.listen("127.0.0.1", 0);
+}
+
+void log_store_standin::serve(const http_request& request,
+                              const std::shared_ptr<http_responder>& responder)
+{
+    ++this->call_count;
+    if (this->current == fault::silent)
+    {
+        return;
+    }
+    if (this->current == fault::busy)
+    {
+        responder->answer({503, ""});
+        return;
+    }
+    const std::string path = request.target.substr(0, request.target.find('?'));
+    const std::string name = parameter(request.target, "topic");
+    if (path == "/v1/log-append")
+    {
+        this->append(name, request.body, responder);
+        return;
+    }
+    if (path == "/v1/log-newest")
+    {
+        this->answer_newest(name, responder);
+        return;
+    }
+    const std::string wait = parameter(request.target, "waitMs");
+    this->read(name, std::stoull(parameter(request.target, "from")),
+               milliseconds(wait.empty() ? 0 : std::stol(wait)), responder);
+}
+
+void log_store_standin::append(const std::string& name, const std::string& body,
+                               const std::shared_ptr<http_responder>& responder)
+{
+    constexpr std::size_t length_bytes = 4;
+    const std::uint64_t offset = this->topics[name].end();
+    for (std::size_t at = 0; at + length_bytes <= body.size();)
+    {
+        std::size_t size = 0;
+        for (std::size_t i = 0; i < length_bytes; ++i)
+        {
+            size = (size << 8U) | static_cast<unsigned char>(body[at + i]);
+        }
+        this->add(name, body.substr(at + length_bytes, size));
+        at += length_bytes + size;
+    }
+    if (this->current == fault::lossy)
+    {
+        return;
+    }
+    responder->answer({200, nlohmann::json{{"offset", offset},
+                                           {"end", this->topics[name].end()}}
+                                .dump()});
+}
+
+void log_store_standin::add(const std::string& name, const std::string& record)
+{
+    this->topics[name].records.push_back(record);
+    this->wake();
+}
+
+void log_store_standin::put(const std::string& name, const std::string& key,
+                            const std::string& value)
+{
+    topic& target = this->topics[name];
+    if (value.empty())
+    {
+        target.newest.erase(key);
+    }
+    else
+    {
+        target.newest[key] = value;
+    }
+    this->add(name, static_cast<char>(key.size()) + key + value);
+}
+
+void log_store_standin::publish(const std::string& config_json)
+{
+    this->put("keyed.op", "config", config_json);
+}
+
+void log_store_standin::write_server(const std::string& id,
+                                     const std::string& entry)
+{
+    this->put("keyed.servers", id, entry);
+}
+
+void log_store_standin::compact()
+{
+    for (auto& [name, target] : this->topics)
+    {
+        target.first = target.end();
+        target.records.clear();
+    }
+}
+
+void log_store_standin::read(const std::string& name, std::uint64_t from,
+                             milliseconds wait,
+                             const std::shared_ptr<http_responder>& responder)
+{
+    const topic& target = this->topics[name];
+    if (wait.count() == 0 || from < target.end())
+    {
+        this->answer_read(name, from, responder);
+        return;
+    }
+    this->reads.push_back({name, from, responder, event_loop::now() + wait});
+}
+
+void log_store_standin::answer_read(
+    const std::string& name, std::uint64_t from,
+    const std::shared_ptr<http_responder>& responder)
+{
+    const topic& target = this->topics[name];
+    if (from < target.first)
+    {
+        responder->answer(
+            {410, nlohmann::json{{"first", target.first}}.dump()});
+        return;
+    }
+    std::string body =
+        big_endian(target.end(), 8) + big_endian(target.first, 8);
+    for (std::uint64_t at = from; at < target.end(); ++at)
+    {
+        const std::string& record = target.records[at - target.first];
+        body += big_endian(record.size(), 4) + record;
+    }
+    responder->answer({200, body});
+}
+
+void log_store_standin::answer_newest(
+    const std::string& name, const std::shared_ptr<http_responder>& responder)
+{
+    const topic& target = this->topics[name];
+    nlohmann::json items = nlohmann::json::array();
+    for (const auto& [key, value] : target.newest)
+    {
+        items.push_back(
+            {{"key", key}, {"value", to_base64(value)}, {"offset", 0}});
+    }
+    responder->answer({200, nlohmann::json{{"items", items},
+                                           {"hasMore", false},
+                                           {"end", target.end()}}
+                                .dump()});
+}
+
+void log_store_standin::wake()
+{
+    const auto pending = std::move(this->reads);
+    this->reads.clear();
+    for (const waiting_read& each : pending)
+    {
+        if (each.from < this->topics[each.name].end())
+        {
+            this->answer_read(each.name, each.from, each.responder);
+            continue;
+        }
+        this->reads.push_back(each);
+    }
+}
+
+void log_store_standin::expire_reads()
+{
+    const instant now = event_loop::now();
+    const auto pending = std::move(this->reads);
+    this->reads.clear();
+    for (const waiting_read& each : pending)
+    {
+        if (each.until <= now)
+        {
+            this->answer_read(each.name, each.from, each.responder);
+            continue;
+        }
+        this->reads.push_back(each);
+    }
+    this->loop.after(read_poll, [this] { this->expire_reads(); });
+}
+
+} // namespace jujubedrum
--- /dev/null
+++ b/standins/users/task_server_standin.hpp
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "node/event_loop.hpp"
+#include "node/http_server.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// Records what backend servers ran, for all of them.
+class run_record
+{
+public:
+    void on_start(const std::string& task, const std::string& payload,
+                  const std::string& server);
+    void on_end(const std::string& task, const std::string& server);
+    [[nodiscard]] const std::vector<std::string>& violations() const
+    {
+        return this->faults;
+    }
+    /// Returns how often tasks of the job were started.
+    [[nodiscard]] std::uint64_t starts_of(const std::string& job) const;
+    [[nodiscard]] std::uint64_t total_starts() const { return this->starts; }
+    /// Sets what a job may run with; starts of other jobs are violations.
+    void expect(const std::string& job, const std::string& payload);
+
+private:
+    std::map<std::string, std::string> running; ///< server by task
+    std::map<std::string, std::uint64_t> by_job;
+    std::map<std::string, std::string> expected;
+    std::vector<std::string> faults;
+    std::uint64_t starts = 0;
+};
+
+/// A backend server of the users' platform: runs tasks under a lease, keeps
+/// the highest fencing token and lists ends until they are acknowledged.
+class task_server_standin
+{
+public:
+    task_server_standin(event_loop& loop, std::string id, std::uint32_t cpu,
+                        run_record& record);
+
+    bool listen();
+    [[nodiscard]] const std::string& id() const { return this->name; }
+    [[nodiscard]] std::uint16_t port() const { return this->server.port(); }
+    /// Returns the entry for the store.
+    /// \param reached port by which instances reach this server.
+    [[nodiscard]] std::string entry(const std::string& domain,
+                                    std::uint16_t reached) const;
+
+    /// Drops the next starts without an answer, after carrying them out.
+    void lose_answers(int count) { this->answers_to_lose = count; }
+    /// Carries the next starts out late, without an answer.
+    void delay_starts(int count, milliseconds by);
+    void set_draining(bool value) { this->draining = value; }
+    void set_failing(bool value) { this->failing = value; }
+    /// Tasks make no progress while it is set.
+    void set_hanging(bool value) { this->hanging = value; }
+    void set_slowdown(double factor) { this->slowdown = factor; }
+    /// Loses all runs and begins a new life under the same id.
+    void crash();
+
+private:
+    struct run_state
+    {
+        std::uint32_t run = 0;
+        std::uint32_t cpu = 0;
+        double progress_ms = 0;
+        double needed_ms = 0;
+        bool stopping = false;
+        instant stop_at{0};
+    };
+    struct end_state
+    {
+        std::uint64_t number = 0;
+        std::string task;
+        std::uint32_t run = 0;
+        std::string how;
+    };
+    struct waiting_look
+    {
+        std::shared_ptr<http_responder> responder;
+        instant until{0};
+    };
+
+    void serve(const http_request& request,
+               const std::shared_ptr<http_responder>& responder);
+    [[nodiscard]] int start(const std::string& body, std::string& reply);
+    [[nodiscard]] int stop(const std::string& body, std::string& reply);
+    void hold(const std::string& body,
+              const std::shared_ptr<http_responder>& responder);
+    /// Brings progress, leases and waiting looks up to the present.
+    void advance();
+    void every_step();
+    void end_run(const std::string& task, const std::string& how);
+    [[nodiscard]] std::string listing() const;
+    [[nodiscard]] std::int64_t clock_ms() const;
+    [[nodiscard]] std::uint32_t used() const;
+    void extend_lease(std::int64_t until_ms);
+
+    event_loop& loop;
+    http_server server;
+    std::string name;
+    std::uint32_t capacity;
+    run_record& record;
+    std::uint64_t born;
+    std::uint64_t token = 0;
+    std::int64_t lease_ms = 0;
+    std::uint64_t next_end = 1;
+    std::map<std::string, run_state> runs;
+    std::map<std::string, std::uint32_t> highest; ///< ended or stopped runs
+    std::vector<end_state> ends;
+    std::vector<waiting_look> looks;
+    int answers_to_lose = 0;
+    int starts_to_delay = 0;
+    milliseconds start_delay{0};
+    bool draining = false;
+    bool failing = false;
+    bool hanging = false;
+    double slowdown = 1.0;
+    instant advanced;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -0,0 +1,179 @@
+#include "node_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jujubedrum
+{
+
+BOOST_FIXTURE_TEST_SUITE(dispatch_node_suite, node_fixture)
+
+BOOST_AUTO_TEST_CASE(job_at_any_instance_completes)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->start_node("a");
+    this->start_node("b");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["b"]->node().ready(); }));
+    this->submit("a", "0000000000000001", 2, 30);
+    this->submit("b", "0000000000000002", 2, 30);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_REQUIRE(this->wait_for("0000000000000002"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_CHECK(this->results["0000000000000002"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.violations().empty());
+}
+
+// The holder dies with a job of another instance: the job runs again, but
+// never while its first run may still be there.
+BOOST_AUTO_TEST_CASE(holder_killed_its_job_runs_again_alone)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->start_node("a");
+    this->start_node("b");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["b"]->node().ready(); }));
+    this->submit("b", "0000000000000001", 4, 600);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 4; }));
+    this->nodes.erase("a");
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() > 4);
+    BOOST_TEST(this->record.violations().empty());
+}
+
+// The same with the store down: the successor derives its token.
+BOOST_AUTO_TEST_CASE(holder_killed_store_down_pool_taken_over)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    this->start_node("b");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["b"]->node().ready(); }));
+    this->store.set_fault(log_store_standin::fault::silent);
+    this->nodes.erase("a");
+    BOOST_REQUIRE(this->wait_for_servers("b", 1));
+    this->submit("b", "0000000000000001", 1, 30);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.violations().empty());
+}
+
+// All instances at once: tokens have to rise beyond those before.
+BOOST_AUTO_TEST_CASE(all_restarted_jobs_served_again)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->submit("a", "0000000000000001", 1, 5000);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->nodes.clear();
+    this->store.compact();
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->submit("a", "0000000000000002", 2, 30);
+    BOOST_REQUIRE(this->wait_for("0000000000000002"));
+    BOOST_CHECK(this->results["0000000000000002"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.violations().empty());
+}
+
+// A planned stop hands its servers over and cuts nothing off.
+BOOST_AUTO_TEST_CASE(holder_draining_jobs_end_and_successor_serves)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->start_node("a");
+    this->start_node("b");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["b"]->node().ready(); }));
+    this->submit("b", "0000000000000001", 1, 500);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->nodes["a"]->node().drain();
+    BOOST_REQUIRE(
+        this->wait([&] { return this->nodes["a"]->node().drained(); }));
+    this->nodes.erase("a");
+    BOOST_REQUIRE(this->wait_for_servers("b", 2));
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 1);
+}
+
+// The answer to a start is lost: the run is found in the listing.
+BOOST_AUTO_TEST_CASE(start_answer_lost_task_runs_once)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->servers["s1"]->lose_answers(1);
+    this->submit("a", "0000000000000001", 1, 300);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 1);
+    BOOST_TEST(this->record.violations().empty());
+}
+
+// A start is carried out seconds late, after the task ran elsewhere.
+BOOST_AUTO_TEST_CASE(start_carried_out_late_is_refused_by_then)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->servers["s1"]->delay_starts(1, milliseconds(700));
+    this->submit("a", "0000000000000001", 1, 1200);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 1);
+    BOOST_TEST(this->record.violations().empty());
+}
+
+BOOST_AUTO_TEST_CASE(server_crashed_task_runs_elsewhere)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->submit("a", "0000000000000001", 1, 400);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->servers["s1"]->crash();
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 2);
+    BOOST_TEST(this->record.violations().empty());
+}
+
+BOOST_AUTO_TEST_CASE(server_draining_gets_no_new_tasks)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    this->servers["s1"]->set_draining(true);
+    this->write_entry("s1");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    BOOST_REQUIRE(this->wait([&] { return this->servers_of("a") == 1; }));
+}
+
+// A refusal has to be true: no task of the job has started.
+BOOST_AUTO_TEST_CASE(no_holder_refused_and_not_run)
+{
+    this->start_node("a");
+    this->submit("a", "0000000000000001", 1, 30);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::refused);
+    BOOST_TEST(this->results["0000000000000001"].retry_after.count() > 0);
+    BOOST_TEST(this->record.total_starts() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubedrum
--- /dev/null
+++ b/tests/unit/dispatch/node_fixture.cpp
@@ -0,0 +1,153 @@
+#include "node_fixture.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+/// Generous bound of every wait; no verdict depends on being faster.
+constexpr milliseconds bound{20000};
+/// Servers write their entries this often.
+constexpr milliseconds beat_interval{1000};
+
+std::uint16_t free_port(event_loop& loop)
+{
+    using boost::asio::ip::tcp;
+    tcp::acceptor probe(loop.context(),
+                        {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return probe.local_endpoint().port();
+}
+
+node_settings make_settings(const std::string& name, const std::string& domain,
+                            std::uint16_t peers, std::uint16_t store)
+{
+    const nlohmann::json object{
+        {"instance", name},
+        {"domain", domain},
+        {"callers", "127.0.0.1:0"},
+        {"operators", "127.0.0.1:0"},
+        {"peers", "127.0.0.1:" + std::to_string(peers)},
+        {"store", "127.0.0.1:" + std::to_string(store)}};
+    config_reason why;
+    const auto settings = node_settings::load(object.dump(), why);
+    BOOST_REQUIRE_MESSAGE(settings, why.message());
+    return *settings;
+}
+
+} // namespace
+
+node_under_test::node_under_test(event_loop& loop,
+                                 const node_settings& settings,
+                                 std::uint64_t boot)
+    : store(loop, settings.store().address, settings.store().port)
+    , channels(loop)
+    , instance(loop, settings, boot, this->store, this->channels, this->metrics)
+{
+    BOOST_REQUIRE(this->instance.start());
+}
+
+node_fixture::node_fixture()
+{
+    BOOST_REQUIRE(this->store.listen());
+    this->store.publish(R"({"version":1,"routes":[],"services":[]})");
+    this->beat();
+}
+
+void node_fixture::beat()
+{
+    for (const auto& [id, server] : this->servers)
+    {
+        this->write_entry(id);
+    }
+    this->loop.after(beat_interval, [this] { this->beat(); });
+}
+
+void node_fixture::start_node(const std::string& name,
+                              const std::string& domain)
+{
+    if (this->peer_ports.count(name) == 0)
+    {
+        this->peer_ports[name] = free_port(this->loop);
+    }
+    this->nodes.erase(name);
+    this->nodes[name] = std::make_unique<node_under_test>(
+        this->loop,
+        make_settings(name, domain, this->peer_ports[name], this->store.port()),
+        this->next_boot++);
+}
+
+void node_fixture::add_server(const std::string& id, const std::string& domain)
+{
+    constexpr std::uint32_t cpu = 16000;
+    this->servers[id] = std::make_unique<task_server_standin>(
+        this->loop, id, cpu, this->record);
+    this->domains[id] = domain;
+    BOOST_REQUIRE(this->servers[id]->listen());
+    this->write_entry(id);
+}
+
+void node_fixture::write_entry(const std::string& id)
+{
+    const task_server_standin& server = *this->servers[id];
+    this->store.write_server(id,
+                             server.entry(this->domains[id], server.port()));
+}
+
+std::size_t node_fixture::servers_of(const std::string& name)
+{
+    const auto state = nlohmann::json::parse(this->nodes[name]->node().dump());
+    constexpr std::size_t cpu = 16000;
+    return state["total_cpu"].get<std::size_t>() / (cpu / 2) / 2;
+}
+
+bool node_fixture::wait_for_servers(const std::string& name, std::size_t count)
+{
+    return this->wait(
+        [&]
+        {
+            const auto state =
+                nlohmann::json::parse(this->nodes[name]->node().dump());
+            return state["servers_reachable"].get<std::size_t>() >= count;
+        });
+}
+
+void node_fixture::submit(const std::string& node, const std::string& job,
+                          std::uint32_t tasks, int run_ms,
+                          milliseconds time_left)
+{
+    job_request request;
+    request.id = job;
+    request.payload = std::to_string(run_ms) + " ms";
+    job_step step;
+    step.count = tasks;
+    step.room = {6800, 64, 0};
+    step.estimate = milliseconds(run_ms);
+    request.steps.push_back(step);
+    job_terms terms;
+    terms.service = "service";
+    terms.max_attempts = 3;
+    terms.stretch = 4;
+    terms.target = milliseconds(2000);
+    terms.time_left = time_left;
+    this->record.expect(job, request.payload);
+    this->nodes[node]->node().submit(request, terms,
+                                     [this, job](const job_result& result)
+                                     { this->results[job] = result; });
+}
+
+bool node_fixture::wait_for(const std::string& job)
+{
+    return this->wait([&] { return this->results.count(job) > 0; });
+}
+
+bool node_fixture::wait(const std::function<bool()>& condition)
+{
+    return this->loop.run_until(condition, bound);
+}
+
+} // namespace jujubedrum
--- /dev/null
+++ b/tests/unit/dispatch/node_fixture.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "node/dispatch_node.hpp"
+#include "server_adapter.hpp"
+#include "store_adapter.hpp"
+#include "users/log_store_standin.hpp"
+#include "users/task_server_standin.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// An instance with its adapters.
+class node_under_test
+{
+public:
+    node_under_test(event_loop& loop, const node_settings& settings,
+                    std::uint64_t boot);
+
+    dispatch_node& node() { return this->instance; }
+
+private:
+    metrics_registry metrics;
+    store_adapter store;
+    server_adapter channels;
+    dispatch_node instance;
+};
+
+/// Instances, backend servers and the store on one event loop, over loopback.
+struct node_fixture
+{
+    node_fixture();
+
+    /// Starts an instance, also again under the same name.
+    void start_node(const std::string& name, const std::string& domain = "d1");
+    void add_server(const std::string& id, const std::string& domain = "d1");
+    void write_entry(const std::string& id);
+    /// Waits until the instance holds as many reachable servers.
+    bool wait_for_servers(const std::string& name, std::size_t count);
+    /// Submits a job of tasks that run this long; the outcome is recorded.
+    void submit(const std::string& node, const std::string& job,
+                std::uint32_t tasks, int run_ms,
+                milliseconds time_left = milliseconds(8000));
+    bool wait_for(const std::string& job);
+    bool wait(const std::function<bool()>& condition);
+    [[nodiscard]] std::size_t servers_of(const std::string& name);
+
+    event_loop loop;
+    log_store_standin store{loop};
+    run_record record;
+    std::map<std::string, std::unique_ptr<task_server_standin>> servers;
+    std::map<std::string, std::string> domains;
+    std::map<std::string, std::unique_ptr<node_under_test>> nodes;
+    std::map<std::string, job_result> results;
+
+private:
+    void beat();
+
+    std::map<std::string, std::uint16_t> peer_ports;
+    std::uint64_t next_boot = 1;
+};
+
+} // namespace jujubedrum
