--- a/src/libruntime/logging.cpp
+++ b/src/libruntime/logging.cpp
@@ -1,10 +1,67 @@
 #include "logging.hpp"
 
+#include <atomic>
+#include <chrono>
+#include <mutex>
+
+#include <fcntl.h>
+#include <unistd.h>
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace jujubedrum
 {
 
+namespace
+{
+
+/// Lines a second. An instance that serves 100 jobs a second writes about 250;
+/// at 20 microseconds a line the limit costs 1 % of a core.
+constexpr std::uint32_t most_lines_per_second = 500;
+
+std::atomic<std::uint64_t> dropped{0};
+
+/// Writes lines to standard output, which must not block.
+class nonblocking_sink : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData* data) override
+    {
+        const auto second =
+            std::chrono::duration_cast<std::chrono::seconds>(
+                std::chrono::steady_clock::now().time_since_epoch())
+                .count();
+        const std::lock_guard lock(this->mutex);
+        if (!this->budget.admit(second))
+        {
+            ++dropped;
+            return;
+        }
+        std::string line = data->logMessage()->logger()->logBuilder()->build(
+            data->logMessage(), true);
+        if (dropped > this->reported)
+        {
+            line.insert(line.size() - 1,
+                        " log_lines_dropped=" + std::to_string(dropped));
+        }
+        const ssize_t written =
+            ::write(STDOUT_FILENO, line.data(), line.size());
+        if (written < 0)
+        {
+            ++dropped;
+            return;
+        }
+        this->reported = dropped;
+    }
+
+private:
+    std::mutex mutex;
+    log_budget budget{most_lines_per_second};
+    std::uint64_t reported = 0;
+};
+
+} // namespace
+
 void configure_logging(const std::string& level)
 {
     el::Configurations config;
@@ -24,4 +81,22 @@
     el::Loggers::reconfigureAllLoggers(config);
 }
 
+void use_nonblocking_log()
+{
+    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags < 0 || ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK) < 0)
+    {
+        LOG(WARNING) << "log: standard output may block";
+    }
+    el::Helpers::uninstallLogDispatchCallback<
+        el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<nonblocking_sink>(
+        "nonblocking_sink");
+}
+
+std::uint64_t dropped_log_lines()
+{
+    return dropped;
+}
+
 } // namespace jujubedrum
--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -309,6 +309,8 @@
               << result.reason << "\" total_ms=" << total.count()
               << " holders=" << at->second.tried.size()
               << " config=" << this->table.version();
+    this->job_times.add(total);
+    ++this->event_counts[std::string("job_") + word(result.outcome)];
     const double objective =
         static_cast<double>(std::max<long>(1, at->second.terms.target.count()));
     this->metrics.on_job_finished(
@@ -327,6 +329,7 @@
     }
     const open_job job = std::move(at->second);
     this->open_jobs.erase(at);
+    ++this->event_counts["job_left"];
     LOG(INFO) << "job: caller left; id=" << job.request.id;
     if (job.local)
     {
@@ -395,6 +398,7 @@
               << " objective_ms=" << report.objective.count()
               << " tasks=" << report.tasks << " starts=" << report.starts
               << " last_server=" << report.last_server;
+    this->queue_times.add(report.queued);
     if (origin.instance != 0)
     {
         this->mesh.send(
@@ -484,6 +488,7 @@
     {
         return;
     }
+    ++this->event_counts["peer_lost"];
     LOG(INFO) << "peer: lost; name=" << name << " reason=\"" << reason << "\"";
     lost_holder lost{this->peers[link].instance, {}};
     this->peers.erase(link);
@@ -559,6 +564,7 @@
         {
             continue;
         }
+        ++this->event_counts["job_sent_again"];
         LOG(INFO) << "job: sent again after its holder was lost; id="
                   << at->second.request.id;
         at->second.tried.clear();
@@ -780,6 +786,7 @@
     std::uint64_t& highest = this->highest_token[pool];
     highest = std::max(highest, token);
     this->held[pool] = {token, event_loop::now()};
+    ++this->event_counts["pool_taken"];
     LOG(INFO) << "pool: taken; domain=" << pool.domain
               << " shard=" << pool.shard << " token=" << token
               << " store=" << (this->store_reachable ? "up" : "down");
@@ -811,6 +818,7 @@
     {
         return;
     }
+    ++this->event_counts["pool_given_up"];
     LOG(INFO) << "pool: given up; domain=" << pool.domain
               << " shard=" << pool.shard << " reason=\"" << reason << "\"";
     this->lost_until[pool] = event_loop::now() + this->settings.holder_lease();
@@ -970,6 +978,36 @@
     this->mesh.stop();
 }
 
+void dispatch_node::collect_metrics()
+{
+    const dispatch_load load = this->dispatcher.load(event_loop::now());
+    this->metrics.set_gauge("open_jobs",
+                            static_cast<double>(this->open_jobs.size()));
+    this->metrics.set_gauge("pool_jobs",
+                            static_cast<double>(this->dispatcher.open_jobs()));
+    this->metrics.set_gauge("pools_held",
+                            static_cast<double>(this->held.size()));
+    this->metrics.set_gauge("servers_held",
+                            static_cast<double>(this->sessions.size()));
+    this->metrics.set_gauge("peers", static_cast<double>(this->peers.size()));
+    this->metrics.set_gauge("store_reachable", this->store_reachable ? 1 : 0);
+    this->metrics.set_gauge("config_version",
+                            static_cast<double>(this->table.version()));
+    this->metrics.set_gauge("cpu_milli", "state=\"total\"",
+                            static_cast<double>(load.total_cpu));
+    this->metrics.set_gauge("cpu_milli", "state=\"free\"",
+                            static_cast<double>(load.free_cpu));
+    this->metrics.set_gauge("cpu_milli", "state=\"waiting\"",
+                            static_cast<double>(load.waiting_cpu));
+    for (const auto& [event, count] : this->event_counts)
+    {
+        this->metrics.set_counter("events_total", "event=\"" + event + "\"",
+                                  count);
+    }
+    this->job_times.write(this->metrics, "job_time_ms");
+    this->queue_times.write(this->metrics, "queue_time_ms");
+}
+
 std::string dispatch_node::dump() const
 {
     const instant now = event_loop::now();
--- a/src/libruntime/node/dispatch_node.hpp
+++ b/src/libruntime/node/dispatch_node.hpp
@@ -5,6 +5,7 @@
 #include "dispatch/route_table.hpp"
 #include "metrics_registry.hpp"
 #include "node/event_loop.hpp"
+#include "node/latency_histogram.hpp"
 #include "node/node_settings.hpp"
 #include "node/peer_mesh.hpp"
 #include "node/platform_ports.hpp"
@@ -56,6 +57,8 @@
     [[nodiscard]] const route_table& routes() const { return this->table; }
     /// Returns whether callers can be served here.
     [[nodiscard]] bool ready() const;
+    /// Sets the gauges and counters that are not kept up to date.
+    void collect_metrics();
     /// Returns the state as JSON, for operators.
     [[nodiscard]] std::string dump() const;
 
@@ -159,6 +162,10 @@
     route_table table;
     std::map<std::uint64_t, open_job> open_jobs;
     std::uint64_t next_ticket = 1;
+    /// Start verdicts other than accepted, refusals, takeovers and the like.
+    std::map<std::string, std::uint64_t> event_counts;
+    latency_histogram job_times;
+    latency_histogram queue_times;
     std::map<std::string, known_server> servers;
     std::map<std::string, std::shared_ptr<server_session>> sessions;
     std::map<std::string, awaited_server> awaited;
