Add a fault soak of real processes

Change: tests/soak runs six instances as processes between relays that delay, reset, cut one way or silence, with kills, stops, pauses and reloads, a store and backend servers that misbehave; it checks runs at one time, truthful refusals, whole answers and recovery. A setting announced_peers names the address that others are told.

--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -97,8 +97,8 @@
     , metrics(registry)
     , dispatcher(options_of(values), *this, *this)
     , mesh(events,
-           {values.instance(), values.peers().address, values.peers().port,
-            life},
+           {values.instance(), values.announced_peers().address,
+            values.announced_peers().port, life},
            *this)
     , started(event_loop::now())
 {
@@ -127,8 +127,8 @@
 void dispatch_node::announce_self()
 {
     this->store.announce({this->settings.instance(),
-                          this->settings.peers().address,
-                          this->settings.peers().port, this->boot});
+                          this->settings.announced_peers().address,
+                          this->settings.announced_peers().port, this->boot});
     this->loop.after(announce_interval, [this] { this->announce_self(); });
 }
 
--- a/src/libruntime/node/http_client.cpp
+++ b/src/libruntime/node/http_client.cpp
@@ -134,7 +134,10 @@
     void send()
     {
         this->sent = true;
-        this->out = wire_text(this->current->request, this->owner->address);
+        this->out = wire_text(this->current->request,
+                              this->current->request.host.empty()
+                                  ? this->owner->address
+                                  : this->current->request.host);
         asio::async_write(
             this->socket, asio::buffer(this->out),
             [self = this->shared_from_this()](
--- a/src/libruntime/node/http_client.hpp
+++ b/src/libruntime/node/http_client.hpp
@@ -20,6 +20,7 @@
 {
     std::string method = "GET";
     std::string target;
+    std::string host; ///< name of the virtual host; empty: the address
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
     std::string content_type = "application/json";
--- a/src/libruntime/node/node_settings.cpp
+++ b/src/libruntime/node/node_settings.cpp
@@ -26,6 +26,7 @@
     "callers": {"type": "string"},
     "operators": {"type": "string"},
     "peers": {"type": "string"},
+    "announced_peers": {"type": "string"},
     "store": {"type": "string"},
     "cpu_share": {"type": "number", "minimum": 0.001, "maximum": 1024},
     "longest_lease_ms": {"type": "number", "minimum": 100, "maximum": 600000},
@@ -109,6 +110,13 @@
     {
         return std::nullopt;
     }
+    loaded.announced_peers_value = loaded.peers_value;
+    if (object->contains("announced_peers") &&
+        !read_endpoint(*object, "announced_peers", loaded.announced_peers_value,
+                       why))
+    {
+        return std::nullopt;
+    }
     constexpr double per_core = 1000;
     loaded.cpu_value =
         static_cast<std::uint32_t>(object->value("cpu_share", 1.0) * per_core);
--- a/src/libruntime/node/node_settings.hpp
+++ b/src/libruntime/node/node_settings.hpp
@@ -52,6 +52,11 @@
     }
     /// Returns where other instances connect.
     [[nodiscard]] const endpoint& peers() const { return this->peers_value; }
+    /// Returns where others are told to connect; by default `peers`.
+    [[nodiscard]] const endpoint& announced_peers() const
+    {
+        return this->announced_peers_value;
+    }
     [[nodiscard]] const endpoint& store() const { return this->store_value; }
     /// Returns the share of a core, in thousandths.
     [[nodiscard]] std::uint32_t cpu() const { return this->cpu_value; }
@@ -83,6 +88,7 @@
     endpoint callers_value;
     endpoint operators_value;
     endpoint peers_value;
+    endpoint announced_peers_value;
     endpoint store_value;
     std::uint32_t cpu_value = 1000;
     milliseconds longest_lease_value{1000};
--- /dev/null
+++ b/tests/soak/fault_relay.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "node/event_loop.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace jujubedrum
+{
+
+/// A TCP relay on loopback whose connections can be delayed, cut in one or
+/// both directions without a sign, or reset.
+class fault_relay
+{
+public:
+    fault_relay(event_loop& loop, std::uint16_t target);
+    ~fault_relay();
+    fault_relay(const fault_relay&) = delete;
+    fault_relay& operator=(const fault_relay&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const;
+    /// Bytes in a silenced direction are lost, also after it opens again.
+    void silence(bool towards_target, bool back);
+    void delay(milliseconds time) { this->lag = time; }
+    /// Makes all present connections silent for good; new ones work.
+    void freeze_connections();
+    void reset_connections();
+    /// Opens both directions. Connections that lost bytes are reset.
+    void heal();
+
+private:
+    class pair;
+
+    void accept();
+
+    loop_scope loop;
+    std::uint16_t target;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::set<std::shared_ptr<pair>> pairs;
+    bool forward_silent = false;
+    bool backward_silent = false;
+    milliseconds lag{0};
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/tests/soak/soak_callers.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "soak_cluster.hpp"
+
+#include "base/random_source.hpp"
+#include "node/http_client.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// Callers with open connections to all instances. They send each job again
+/// after a broken or missing answer, to another instance, as the users'
+/// clients do, and check what they are told.
+class soak_callers
+{
+public:
+    soak_callers(event_loop& loop, soak_cluster& cluster, random_source& random,
+                 std::uint32_t jobs_per_second);
+
+    void begin();
+    void end() { this->sending = false; }
+    [[nodiscard]] bool idle() const { return this->open == 0; }
+    /// Sends one job to the instance and counts it if it completes.
+    void probe(std::size_t node);
+    [[nodiscard]] std::uint64_t probes_completed() const
+    {
+        return this->probes_done;
+    }
+    [[nodiscard]] const std::map<std::string, std::uint64_t>& outcomes() const
+    {
+        return this->counts;
+    }
+    [[nodiscard]] const std::vector<std::string>& violations() const
+    {
+        return this->faults;
+    }
+
+private:
+    struct job
+    {
+        std::string id;
+        std::string body;
+        std::uint32_t attempts = 0;
+        bool maybe_run = false; ///< an attempt ended without a refusal
+        bool probe = false;
+    };
+
+    void send_next();
+    std::shared_ptr<job> make_job();
+    void attempt(const std::shared_ptr<job>& which, std::size_t node);
+    void on_reply(const std::shared_ptr<job>& which, const http_reply& reply);
+    void close(const job& which, const std::string& outcome);
+
+    loop_scope loop;
+    soak_cluster& cluster;
+    random_source& random;
+    microseconds interval;
+    std::vector<std::shared_ptr<http_client>> clients;
+    std::uint64_t next_id = 1;
+    std::uint64_t open = 0;
+    std::uint64_t probes_done = 0;
+    bool sending = true;
+    std::map<std::string, std::uint64_t> counts;
+    std::vector<std::string> faults;
+};
+
+} // namespace jujubedrum
--- /dev/null
+++ b/tests/soak/soak_cluster.cpp
@@ -0,0 +1,169 @@
+#include "soak_cluster.hpp"
+
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+
+#include <nlohmann/json.hpp>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+constexpr milliseconds beat_interval{1000};
+constexpr milliseconds watch_interval{50};
+/// Until an ended process is started again, as on the platform.
+constexpr milliseconds restart_delay{300};
+constexpr std::uint32_t server_cpu = 16000;
+
+std::uint16_t free_port(event_loop& loop)
+{
+    using boost::asio::ip::tcp;
+    tcp::acceptor probe(loop.context(),
+                        {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return probe.local_endpoint().port();
+}
+
+std::string local(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+} // namespace
+
+soak_cluster::soak_cluster(event_loop& events, const soak_options& options)
+    : loop(events)
+    , store_standin(events)
+{
+    if (!this->store_standin.listen())
+    {
+        throw std::runtime_error("the store cannot listen");
+    }
+    this->store_standin.publish(nlohmann::json{
+        {"version", 1},
+        {"routes",
+         {{{"name", "r1"},
+           {"host", "h"},
+           {"pathPrefix", "/q/"},
+           {"backend", "service"},
+           {"timeoutMs", 4000},
+           {"targetLatencyMs", 300},
+           {"priority", 0},
+           {"maxAttempts", 3},
+           {"stretch", 3.0}}}},
+        {"services",
+         nlohmann::json::array()}}.dump());
+    for (std::size_t i = 0; i < options.servers; ++i)
+    {
+        server added;
+        added.domain = "d" + std::to_string(i % options.domains);
+        added.standin = std::make_unique<task_server_standin>(
+            events, "s" + std::to_string(i), server_cpu, this->runs);
+        if (!added.standin->listen())
+        {
+            throw std::runtime_error("a server cannot listen");
+        }
+        added.relay =
+            std::make_unique<fault_relay>(events, added.standin->port());
+        this->server_list.push_back(std::move(added));
+    }
+    this->beat();
+    for (std::size_t i = 0; i < options.nodes; ++i)
+    {
+        this->add_node(options, i);
+    }
+    this->watch_processes();
+}
+
+void soak_cluster::add_node(const soak_options& options, std::size_t position)
+{
+    const std::string name = "n" + std::to_string(position);
+    const std::uint16_t peers_port = free_port(this->loop.events());
+    node added;
+    added.callers_port = free_port(this->loop.events());
+    added.operators_port = free_port(this->loop.events());
+    added.peers =
+        std::make_unique<fault_relay>(this->loop.events(), peers_port);
+    added.store = std::make_unique<fault_relay>(this->loop.events(),
+                                                this->store_standin.port());
+    const std::filesystem::path settings = options.folder / (name + ".json");
+    std::ofstream(settings) << nlohmann::json{
+        {"instance", name},
+        {"domain", "d" + std::to_string(position % options.domains)},
+        {"callers", local(added.callers_port)},
+        {"operators", local(added.operators_port)},
+        {"peers", local(peers_port)},
+        {"announced_peers", local(added.peers->port())},
+        {"store",
+         local(
+             added.store->port())}}.dump();
+    added.process = std::make_unique<node_process>(
+        options.program, settings.string(),
+        (options.folder / (name + ".log")).string());
+    added.process->start();
+    this->node_list.push_back(std::move(added));
+}
+
+void soak_cluster::write_entry(const server& which)
+{
+    this->store_standin.write_server(
+        which.standin->id(),
+        which.standin->entry(which.domain, which.relay->port()));
+}
+
+void soak_cluster::beat()
+{
+    for (const server& each : this->server_list)
+    {
+        if (each.listed)
+        {
+            this->write_entry(each);
+        }
+    }
+    this->loop.after(beat_interval, [this] { this->beat(); });
+}
+
+void soak_cluster::watch_processes()
+{
+    for (node& each : this->node_list)
+    {
+        if (each.wanted && !each.process->running())
+        {
+            each.wanted = false;
+            this->loop.after(restart_delay,
+                             [&each]
+                             {
+                                 each.process->start();
+                                 each.wanted = true;
+                             });
+        }
+    }
+    this->loop.after(watch_interval, [this] { this->watch_processes(); });
+}
+
+void soak_cluster::heal()
+{
+    this->store_standin.set_fault(log_store_standin::fault::none);
+    for (server& each : this->server_list)
+    {
+        each.relay->heal();
+        each.standin->set_failing(false);
+        each.standin->set_hanging(false);
+        each.standin->set_draining(false);
+        each.standin->set_slowdown(1.0);
+        each.standin->delay_starts(0, milliseconds(0));
+        each.standin->lose_answers(0);
+        each.listed = true;
+        this->write_entry(each);
+    }
+    for (node& each : this->node_list)
+    {
+        each.peers->heal();
+        each.store->heal();
+        each.process->signal(SIGCONT);
+    }
+}
+
+} // namespace jujubedrum
