Wait before taking the pools of a silent domain

Change: pools of another domain only 5 s after the last word of any of its instances; home does not wait after a holder of another domain. Ruled out: the planned restarts of that time, which handed over cleanly.

--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -702,17 +702,22 @@
 std::map<std::string, std::size_t> dispatch_node::electable_servers() const
 {
     const instant now = event_loop::now();
-    const bool foreign =
+    const bool store_known =
         this->store_reachable && now - this->store_since >= foreign_patience;
     std::map<std::string, std::size_t> counts;
     for (const auto& [id, server] : this->servers)
     {
-        const bool home = server.info.domain == this->settings.domain();
+        const std::string& domain = server.info.domain;
+        const auto heard = this->domain_heard.find(domain);
         // In a cut both the servers and the instances of the other domain are
         // silent; without instances its servers still write their entries.
-        if (home || (foreign && now - server.seen <= foreign_news))
+        const bool orphaned = store_known &&
+                              now - server.seen <= foreign_news &&
+                              (heard == this->domain_heard.end() ||
+                               now - heard->second >= foreign_patience);
+        if (orphaned || domain == this->settings.domain())
         {
-            ++counts[server.info.domain];
+            ++counts[domain];
         }
     }
     return counts;
@@ -725,10 +730,19 @@
         return;
     }
     const auto live = this->mesh.live();
+    for (const instance_view& instance : live)
+    {
+        this->domain_heard[instance.domain] = event_loop::now();
+    }
     const instance_view self = this->self_view();
     for (const pool_id& pool : pool_election::to_give_up(self, live))
     {
         this->give_up(pool, "another holder has a higher token");
+        if (!pool_election::held_by_other(self, live, pool))
+        {
+            // A holder of another domain yields; no need to wait.
+            this->lost_until.erase(pool);
+        }
     }
     const auto counts = this->electable_servers();
     for (const pool_id& pool : pool_election::to_take(self, live, counts))
--- a/src/libruntime/node/dispatch_node.hpp
+++ b/src/libruntime/node/dispatch_node.hpp
@@ -174,6 +174,8 @@
     std::set<pool_id> claiming;
     std::map<pool_id, instant> lost_until; ///< no new claim before
     std::map<pool_id, std::uint64_t> highest_token;
+    /// When an instance of each failure domain was last heard of.
+    std::map<std::string, instant> domain_heard;
     std::map<std::uint64_t, hello_message> peers; ///< last hello by link
     bool draining = false;
     instant drain_began{0};
--- a/standins/users/log_store_standin.cpp
+++ b/standins/users/log_store_standin.cpp
@@ -1,6 +1,8 @@
 #include "users/log_store_standin.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <iostream>
 
 #include <nlohmann/json.hpp>
 
@@ -34,6 +36,14 @@
     return target.substr(at, target.find('&', at) - at);
 }
 
+template <typename T>
+bool parse_number(const std::string& text, T& value)
+{
+    const auto parsed =
+        std::from_chars(text.data(), text.data() + text.size(), value);
+    return parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+}
+
 std::string to_base64(const std::string& text)
 {
     static const char* const digits =
@@ -103,9 +113,18 @@
         this->answer_newest(name, responder);
         return;
     }
-    const std::string wait = parameter(request.target, "waitMs");
-    this->read(name, std::stoull(parameter(request.target, "from")),
-               milliseconds(wait.empty() ? 0 : std::stol(wait)), responder);
+    std::uint64_t from = 0;
+    long wait = 0;
+    if (path != "/v1/log-read" ||
+        !parse_number(parameter(request.target, "from"), from))
+    {
+        std::cerr << "store stand-in: bad request " << request.method << " "
+                  << request.target << "\n";
+        responder->answer({400, ""});
+        return;
+    }
+    (void)parse_number(parameter(request.target, "waitMs"), wait);
+    this->read(name, from, milliseconds(wait), responder);
 }
 
 void log_store_standin::append(const std::string& name, const std::string& body,
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -174,6 +174,25 @@
     BOOST_TEST(this->record.total_starts() == 0);
 }
 
+// The incident of 2026-12-04 on kangiyo-coop: at the first moment of a cut an
+// instance took the pools of the domain behind it, which it could not reach.
+BOOST_AUTO_TEST_CASE(domain_silent_its_pools_taken_only_after_patience)
+{
+    this->add_server("s1", "d1");
+    this->add_server("s2", "d2");
+    this->start_node("a", "d1");
+    this->start_node("b", "d2");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    BOOST_REQUIRE(this->wait_for_servers("b", 1));
+    // The store has to have answered for longer than the patience.
+    const instant known = event_loop::now();
+    this->wait([known] { return event_loop::now() - known >= seconds(6); });
+    const instant lost = event_loop::now();
+    this->nodes.erase("b");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    BOOST_CHECK(event_loop::now() - lost >= seconds(5));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubedrum
