Keep the runs of a server's new life when its entry comes late

Change: a new life only resets counts and clock; which runs are gone follows from its listing, run by run. Before/after: the case server_crashed_entry_late_... started 3 runs, now 2.

--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -628,18 +628,13 @@
                       << (change.info->draining ? "draining" : "ready")
                       << "; server=" << change.id;
         }
-        const bool reborn =
-            known.info.born != 0 && known.info.born != change.info->born;
         known.info = *change.info;
         known.seen = now;
         known.missing_since.reset();
         const auto at = this->sessions.find(change.id);
         if (at != this->sessions.end())
         {
-            if (reborn)
-            {
-                at->second->on_reborn();
-            }
+            at->second->on_entry(known.info.born);
             this->dispatcher.set_server(known.info);
         }
     }
--- a/src/libruntime/node/server_session.cpp
+++ b/src/libruntime/node/server_session.cpp
@@ -141,8 +141,6 @@
         this->fenced();
         return;
     case look_verdict::other_life:
-        this->on_reborn();
-        break;
     case look_verdict::refused:
     case look_verdict::unanswered:
         break;
@@ -178,11 +176,11 @@
 {
     const instant now = event_loop::now();
     this->silences = 0;
-    this->clock_offset = microseconds(listing.server_clock) - now;
     if (listing.born != 0 && this->born != 0 && listing.born != this->born)
     {
         this->on_reborn();
     }
+    this->clock_offset = microseconds(listing.server_clock) - now;
     if (listing.born != 0)
     {
         this->born = listing.born;
@@ -240,9 +238,18 @@
 
 void server_session::on_reborn()
 {
+    LOG(INFO) << "server: new life; server=" << this->id_value;
     this->acknowledged = 0;
     this->clock_offset.reset();
-    this->dispatcher.on_runs_gone(this->id_value, event_loop::now());
+}
+
+void server_session::on_entry(std::uint64_t entry_born)
+{
+    // The listing may have told of that life before, and tasks may run in it.
+    if (entry_born > this->born)
+    {
+        this->look_soon();
+    }
 }
 
 void server_session::start(const run_id& run, const std::string& payload)
--- a/src/libruntime/node/server_session.hpp
+++ b/src/libruntime/node/server_session.hpp
@@ -38,8 +38,9 @@
     void stop(const run_id& run);
     void look_soon();
     void end();
-    /// The server said that it began a new life; what ran before is gone.
-    void on_reborn();
+    /// The server's entry names a life. What ran in an earlier one is gone,
+    /// which the next listing shows run by run.
+    void on_entry(std::uint64_t entry_born);
     [[nodiscard]] std::uint64_t token() const { return this->token_value; }
     /// Returns whether runs of earlier holders were found gone.
     [[nodiscard]] bool is_attached() const { return this->attached; }
@@ -54,6 +55,8 @@
                    std::function<void()> on_fenced);
     void look(milliseconds wait);
     void on_listing(const server_listing& listing, instant asked_at, bool main);
+    /// Forgets the counts and the clock of an earlier life.
+    void on_reborn();
     void on_silence();
     void accept_listing(const server_listing& listing, instant asked_at);
     /// Stops runs that the dispatcher does not know; true if there are any.
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -174,6 +174,23 @@
     BOOST_TEST(this->record.total_starts() == 0);
 }
 
+// Seed 101 of the soak: the entry of a server's new life came after tasks had
+// been started in it, and these were taken for lost.
+BOOST_AUTO_TEST_CASE(server_crashed_entry_late_runs_of_new_life_kept)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->submit("a", "0000000000000001", 1, 1500);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->servers["s1"]->crash();
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 2; }));
+    this->write_entry("s1");
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_TEST(this->record.total_starts() == 2);
+    BOOST_TEST(this->record.violations().empty());
+}
+
 // The incident of 2026-12-04 on kangiyo-coop: at the first moment of a cut an
 // instance took the pools of the domain behind it, which it could not reach.
 BOOST_AUTO_TEST_CASE(domain_silent_its_pools_taken_only_after_patience)
