Log what each decision on a job rests on

Change: the holder logs the expected wait, free room and usable servers of each job, the accepting instance the holder it chose and the age of its load.

--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -156,6 +156,9 @@
         this->jobs.emplace(job->request.id, std::move(created));
     }
     this->deadlines.emplace(job->give_up_at, job->request.id);
+    const dispatch_load present = this->load(now);
+    job->free_cpu = present.free_cpu;
+    job->servers = present.servers;
     if (!this->serviceable(*job, now))
     {
         this->finish(*job, job_outcome::refused, "no server fits",
@@ -164,6 +167,7 @@
     }
     this->enqueue(*job);
     const milliseconds wait = this->wait_of(*job, now);
+    job->expected_wait = wait;
     // A job that is late already still gets room that nobody else wants.
     if (wait.count() > 0 && now + wait > job->start_by)
     {
@@ -688,6 +692,7 @@
             refusal_share *
             static_cast<double>(microseconds(job.objective()).count())));
     const milliseconds wait = this->wait_of(job, now);
+    job.expected_wait = wait;
     if (now >= decided_by && wait.count() > 0 && now + wait > job.start_by)
     {
         this->finish(job, job_outcome::refused, "busy",
@@ -839,6 +844,7 @@
     {
         if (server.record.usable(now))
         {
+            ++result.servers;
             const task_room& all = server.record.info().capacity;
             result.total_cpu += this->usable_cpu(all.cpu);
             result.free_cpu += this->usable_cpu(server.record.free_cpu());
--- a/src/libjujubedrum/dispatch/pool_dispatcher.hpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.hpp
@@ -56,6 +56,8 @@
     std::uint64_t waiting_cpu = 0; ///< wanted by tasks that wait
     double mean_run_ms = 100;      ///< mean run time of recent tasks
 
+    std::uint64_t servers = 0; ///< usable ones; known to the holder only
+
     /// Returns the expected wait of a job that wants this much.
     [[nodiscard]] milliseconds wait_for(std::uint64_t cpu) const;
 
--- a/src/libjujubedrum/dispatch/pooled_job.cpp
+++ b/src/libjujubedrum/dispatch/pooled_job.cpp
@@ -144,6 +144,9 @@
     result.starts = this->starts;
     result.objective = this->objective();
     result.last_server = this->last_server;
+    result.expected_wait = this->expected_wait;
+    result.free_cpu = this->free_cpu;
+    result.servers = this->servers;
     return result;
 }
 
--- a/src/libjujubedrum/dispatch/pooled_job.hpp
+++ b/src/libjujubedrum/dispatch/pooled_job.hpp
@@ -30,6 +30,9 @@
     std::uint32_t starts = 0;
     milliseconds objective{0}; ///< estimated from the declared run time
     std::string last_server;
+    milliseconds expected_wait{0}; ///< when it was admitted or refused
+    std::uint64_t free_cpu = 0;    ///< thousandths of a core, at that time
+    std::uint64_t servers = 0;     ///< usable at that time
 };
 
 enum class task_state
@@ -85,6 +88,9 @@
     std::uint32_t starts = 0;
     std::optional<instant> first_start;
     std::string last_server;
+    milliseconds expected_wait{0};
+    std::uint64_t free_cpu = 0;
+    std::uint64_t servers = 0;
     bool answered = false; ///< ended; kept until its runs are gone
 
     static pooled_job create(job_request request, const job_terms& terms,
--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -263,10 +263,13 @@
         return;
     }
     job.link = *best;
+    job.expected_wait = best_wait;
+    job.load_age = this->mesh.age(*best);
     job.local = *best == 0;
     if (job.local)
     {
-        job.tried.insert(this->settings.instance());
+        job.holder = this->settings.instance();
+        job.tried.insert(job.holder);
         // The dispatcher may answer at once, which ends the open job.
         const job_request request = job.request;
         const job_terms terms = this->terms_now(job);
@@ -275,7 +278,8 @@
     }
     hello_message& chosen = this->peers[*best];
     chosen.load.waiting_cpu += cpu; // until its next news
-    job.tried.insert(chosen.instance.name);
+    job.holder = chosen.instance.name;
+    job.tried.insert(job.holder);
     this->mesh.send(*best,
                     submit_message{ticket, job.request, this->terms_now(job)});
 }
@@ -307,7 +311,10 @@
     LOG(INFO) << "job: answered; id=" << at->second.request.id
               << " outcome=" << word(result.outcome) << " reason=\""
               << result.reason << "\" total_ms=" << total.count()
+              << " holder=" << at->second.holder
               << " holders=" << at->second.tried.size()
+              << " expected_wait_ms=" << at->second.expected_wait.count()
+              << " load_age_ms=" << at->second.load_age.count()
               << " config=" << this->table.version();
     this->job_times.add(total);
     ++this->event_counts[std::string("job_") + word(result.outcome)];
@@ -397,7 +404,10 @@
               << " total_ms=" << report.total.count()
               << " objective_ms=" << report.objective.count()
               << " tasks=" << report.tasks << " starts=" << report.starts
-              << " last_server=" << report.last_server;
+              << " last_server=" << report.last_server
+              << " expected_wait_ms=" << report.expected_wait.count()
+              << " free_cpu=" << report.free_cpu
+              << " servers=" << report.servers;
     this->queue_times.add(report.queued);
     if (origin.instance != 0)
     {
--- a/src/libruntime/node/dispatch_node.hpp
+++ b/src/libruntime/node/dispatch_node.hpp
@@ -69,7 +69,10 @@
         job_terms terms;
         job_callback done;
         instant accepted{0};
-        std::uint64_t link = 0; ///< holder; 0: this instance
+        std::string holder;            ///< that was asked last
+        milliseconds expected_wait{0}; ///< there, when it was chosen
+        milliseconds load_age{0};      ///< of what that rests on
+        std::uint64_t link = 0;        ///< holder; 0: this instance
         bool local = false;
         std::set<std::string> tried; ///< holders that refused it
         std::string only_holder;     ///< that may still run it; may be empty
--- a/src/libruntime/node/peer_mesh.cpp
+++ b/src/libruntime/node/peer_mesh.cpp
@@ -522,6 +522,14 @@
            event_loop::now() - at->second.heard <= doubt_after;
 }
 
+milliseconds peer_mesh::age(std::uint64_t number) const
+{
+    const auto at = this->peers.find(number);
+    return at == this->peers.end() ? milliseconds(0)
+                                   : std::chrono::duration_cast<milliseconds>(
+                                         event_loop::now() - at->second.heard);
+}
+
 std::size_t peer_mesh::unreached() const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/src/libruntime/node/peer_mesh.hpp
+++ b/src/libruntime/node/peer_mesh.hpp
@@ -85,6 +85,8 @@
     [[nodiscard]] std::vector<instance_view> live() const;
     /// Returns whether the link was heard of within `doubt_after`.
     [[nodiscard]] bool trusted(std::uint64_t link) const;
+    /// Returns how long ago the link was heard of; 0 for an unknown one.
+    [[nodiscard]] milliseconds age(std::uint64_t link) const;
     [[nodiscard]] std::size_t unreached() const;
     void stop();
 
