--- a/tests/soak/fault_relay.cpp
+++ b/tests/soak/fault_relay.cpp
@@ -24,7 +24,7 @@
     void begin()
     {
         this->far.async_connect(
-            {asio::ip::make_address("127.0.0.1"), this->owner->target},
+            {asio::ip::make_address(this->owner->address), this->owner->target},
             [self = this->shared_from_this()](
                 const boost::system::error_code& error)
             {
@@ -127,8 +127,10 @@
     std::array<char, 16384> backward_bytes{};
 };
 
-fault_relay::fault_relay(event_loop& events, std::uint16_t port)
+fault_relay::fault_relay(event_loop& events, std::string host,
+                         std::uint16_t port)
     : loop(events)
+    , address(std::move(host))
     , target(port)
     , acceptor(events.context(), {asio::ip::make_address("127.0.0.1"), 0})
 {
--- a/tests/soak/fault_relay.hpp
+++ b/tests/soak/fault_relay.hpp
@@ -17,7 +17,7 @@
 class fault_relay
 {
 public:
-    fault_relay(event_loop& loop, std::uint16_t target);
+    fault_relay(event_loop& loop, std::string address, std::uint16_t target);
     ~fault_relay();
     fault_relay(const fault_relay&) = delete;
     fault_relay& operator=(const fault_relay&) = delete;
@@ -38,6 +38,7 @@
     void accept();
 
     loop_scope loop;
+    std::string address; ///< of the target
     std::uint16_t target;
     boost::asio::ip::tcp::acceptor acceptor;
     std::set<std::shared_ptr<pair>> pairs;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -32,6 +32,15 @@
     std::uint32_t jobs_per_second = 60;
 };
 
+/// Returns a loopback address that no other soak on this machine uses.
+std::string own_address()
+{
+    const auto id = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(1 + ((id >> 16U) & 0x7fU)) + "." +
+           std::to_string((id >> 8U) & 0xffU) + "." +
+           std::to_string(id & 0xffU);
+}
+
 /// Sends jobs until enough complete, so that the service has recovered.
 bool recovers(event_loop& loop, soak_callers& callers, std::size_t nodes)
 {
@@ -61,8 +70,10 @@
     soak_options options;
     options.program = plan.program;
     options.folder = folder;
+    options.address = own_address();
     soak_cluster cluster(loop, options);
-    soak_callers callers(loop, cluster, random, plan.jobs_per_second);
+    soak_callers callers(loop, cluster, random, options.address,
+                         plan.jobs_per_second);
     std::vector<std::string> faults;
     constexpr milliseconds forever{0x7fffffff};
     if (!recovers(loop, callers, options.nodes))
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -22,7 +22,8 @@
 } // namespace
 
 soak_callers::soak_callers(event_loop& events, soak_cluster& target,
-                           random_source& source, std::uint32_t jobs_per_second)
+                           random_source& source, const std::string& address,
+                           std::uint32_t jobs_per_second)
     : loop(events)
     , cluster(target)
     , random(source)
@@ -31,7 +32,7 @@
     for (const soak_cluster::node& node : this->cluster.nodes())
     {
         this->clients.push_back(http_client::create(
-            events, "127.0.0.1", node.callers_port, most_connections));
+            events, address, node.callers_port, most_connections));
     }
 }
 
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -21,7 +21,7 @@
 {
 public:
     soak_callers(event_loop& loop, soak_cluster& cluster, random_source& random,
-                 std::uint32_t jobs_per_second);
+                 const std::string& address, std::uint32_t jobs_per_second);
 
     void begin();
     void end() { this->sending = false; }
--- a/tests/soak/soak_cluster.cpp
+++ b/tests/soak/soak_cluster.cpp
@@ -18,11 +18,11 @@
 constexpr milliseconds restart_delay{300};
 constexpr std::uint32_t server_cpu = 16000;
 
-std::uint16_t free_port(event_loop& loop)
+std::uint16_t free_port(event_loop& loop, const std::string& address)
 {
     using boost::asio::ip::tcp;
     tcp::acceptor probe(loop.context(),
-                        {boost::asio::ip::make_address("127.0.0.1"), 0});
+                        {boost::asio::ip::make_address(address), 0});
     return probe.local_endpoint().port();
 }
 
@@ -65,8 +65,8 @@
         {
             throw std::runtime_error("a server cannot listen");
         }
-        added.relay =
-            std::make_unique<fault_relay>(events, added.standin->port());
+        added.relay = std::make_unique<fault_relay>(events, "127.0.0.1",
+                                                    added.standin->port());
         this->server_list.push_back(std::move(added));
     }
     this->beat();
@@ -80,21 +80,23 @@
 void soak_cluster::add_node(const soak_options& options, std::size_t position)
 {
     const std::string name = "n" + std::to_string(position);
-    const std::uint16_t peers_port = free_port(this->loop.events());
+    const std::uint16_t peers_port =
+        free_port(this->loop.events(), options.address);
     node added;
-    added.callers_port = free_port(this->loop.events());
-    added.operators_port = free_port(this->loop.events());
-    added.peers =
-        std::make_unique<fault_relay>(this->loop.events(), peers_port);
-    added.store = std::make_unique<fault_relay>(this->loop.events(),
-                                                this->store_standin.port());
+    added.callers_port = free_port(this->loop.events(), options.address);
+    added.operators_port = free_port(this->loop.events(), options.address);
+    added.peers = std::make_unique<fault_relay>(this->loop.events(),
+                                                options.address, peers_port);
+    added.store = std::make_unique<fault_relay>(
+        this->loop.events(), "127.0.0.1", this->store_standin.port());
     const std::filesystem::path settings = options.folder / (name + ".json");
     std::ofstream(settings) << nlohmann::json{
         {"instance", name},
         {"domain", "d" + std::to_string(position % options.domains)},
-        {"callers", local(added.callers_port)},
-        {"operators", local(added.operators_port)},
-        {"peers", local(peers_port)},
+        {"callers", options.address + ":" + std::to_string(added.callers_port)},
+        {"operators",
+         options.address + ":" + std::to_string(added.operators_port)},
+        {"peers", options.address + ":" + std::to_string(peers_port)},
         {"announced_peers", local(added.peers->port())},
         {"store",
          local(
--- a/tests/soak/soak_cluster.hpp
+++ b/tests/soak/soak_cluster.hpp
@@ -19,6 +19,9 @@
 {
     std::string program;
     std::filesystem::path folder;
+    /// Loopback address of the instances. Their ports are found by trying, so
+    /// each soak that runs at the same time needs an address of its own.
+    std::string address = "127.0.0.1";
     std::size_t nodes = 6;
     std::size_t servers = 12;
     std::size_t domains = 2;
