--- /dev/null
+++ b/fuzz/fuzz_users_platform.cpp
@@ -0,0 +1,64 @@
+#include "caller_adapter.hpp"
+#include "documents.hpp"
+#include "log_codec.hpp"
+#include "node/node_settings.hpp"
+#include "node/peer_message.hpp"
+#include "server_adapter.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+std::vector<std::string> fuzz_seeds()
+{
+    using namespace jujubedrum;
+    submit_message submitted;
+    submitted.request.steps.resize(2);
+    hello_message hello;
+    hello.instance = {"e1", 7, "d1", 250, false, {{{"d1", 3}, 4096, true}}};
+    constexpr std::size_t length_bytes = 4;
+    return {
+        std::string(16, '\0') + encode_record("ab"),
+        "\x02idvalue",
+        R"({"items":[{"key":"k","value":"aGVsbG8="}],"hasMore":true,"end":6})",
+        R"({"version":7,"routes":[{"host":"h","pathPrefix":"/p/"}]})",
+        R"({"backend":"s","address":"10.0.0.9:80","zone":"d1",)"
+        R"("state":"ready","capacity":{"cpu":16000},"labels":["a"]})",
+        R"({"clockMs":1,"running":[["a.0.1.17",2,"",41]],)"
+        R"("finished":[[58,"a.0.1.9",1,"done",""]]})",
+        R"({"bestEffort":true,"steps":[{"count":4,"cpu":1,"after":[0]}]})",
+        encode_frame(submitted).substr(length_bytes),
+        encode_frame(hello).substr(length_bytes)};
+}
+
+/// Feeds every decoder of the users' platform and of the links between
+/// instances. None may crash, and an offer that is taken must be usable.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size)
+{
+    using namespace jujubedrum;
+    const std::string_view text(reinterpret_cast<const char*>(data), size);
+    std::string why;
+    submission_fault fault;
+    config_reason reason;
+    (void)decode_log_page(text);
+    (void)decode_keyed(text);
+    (void)decode_newest(text);
+    (void)decode_offset(text);
+    (void)decode_first(text);
+    (void)decode_configuration(text, why);
+    (void)decode_server("id", text, why);
+    (void)decode_member(text);
+    (void)decode_listing(text);
+    (void)decode_task(text);
+    (void)decode_message(text, why);
+    (void)node_settings::load(text, reason);
+    const auto job = decode_submission("5c0e7a21d94b36f8", text, fault);
+    if (job && job->steps.empty())
+    {
+        __builtin_trap();
+    }
+    return 0;
+}
