--- a/src/libruntime/node/http_client.cpp
+++ b/src/libruntime/node/http_client.cpp
@@ -29,7 +29,7 @@
         call.method + " " + call.target + " HTTP/1.1\r\nHost: " + host + "\r\n";
     for (const auto& [name, value] : call.headers)
     {
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     }
     if (!call.body.empty() || call.method != "GET")
     {
--- a/src/libruntime/node/http_server.cpp
+++ b/src/libruntime/node/http_server.cpp
@@ -335,10 +335,11 @@
     bool closed = false;
 };
 
-http_server::http_server(event_loop& events, std::string header, handler serve_)
+http_server::http_server(event_loop& events, std::string header,
+                         handler on_request)
     : loop(events)
     , deadline_header(std::move(header))
-    , serve(std::move(serve_))
+    , serve(std::move(on_request))
     , acceptor(events.context())
 {
 }
--- a/src/libruntime/node/peer_mesh.cpp
+++ b/src/libruntime/node/peer_mesh.cpp
@@ -508,6 +508,7 @@
         by_name[peer.hello.instance.name] = peer.hello.instance;
     }
     std::vector<instance_view> result;
+    result.reserve(by_name.size());
     for (auto& [name, view] : by_name)
     {
         result.push_back(std::move(view));
--- a/standins/users/task_server_standin.cpp
+++ b/standins/users/task_server_standin.cpp
@@ -66,14 +66,15 @@
 }
 
 task_server_standin::task_server_standin(event_loop& events, std::string id,
-                                         std::uint32_t cpu, run_record& record_)
+                                         std::uint32_t cpu,
+                                         run_record& all_runs)
     : loop(events)
     , server(events, "X-None",
              [this](const http_request& request, const auto& responder)
              { this->serve(request, responder); })
     , name(std::move(id))
     , capacity(cpu)
-    , record(record_)
+    , record(all_runs)
     , born(static_cast<std::uint64_t>(event_loop::wall_now().count()))
     , advanced(event_loop::now())
 {
