Never use a port twice in a test cluster

Free ports are found by trying, and the system offered the same one again before the first was bound, so callers reached another instance's operators' address.

--- a/tests/unit/dispatch/node_fixture.cpp
+++ b/tests/unit/dispatch/node_fixture.cpp
@@ -1,5 +1,7 @@
 #include "node_fixture.hpp"
 
+#include <set>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -15,12 +17,22 @@
 /// Servers write their entries this often.
 constexpr milliseconds beat_interval{1000};
 
+/// Returns a free port that was not returned before: the system may offer one
+/// again before the instance has bound it.
 std::uint16_t free_port(event_loop& loop)
 {
     using boost::asio::ip::tcp;
-    tcp::acceptor probe(loop.context(),
-                        {boost::asio::ip::make_address("127.0.0.1"), 0});
-    return probe.local_endpoint().port();
+    static std::set<std::uint16_t> given;
+    for (;;)
+    {
+        tcp::acceptor probe(loop.context(),
+                            {boost::asio::ip::make_address("127.0.0.1"), 0});
+        const std::uint16_t port = probe.local_endpoint().port();
+        if (given.insert(port).second)
+        {
+            return port;
+        }
+    }
 }
 
 node_settings make_settings(const std::string& name, const std::string& domain,
