Let the lease of a silent server run out

Cause: every look asks to prolong the lease, and an unanswered one may have done so.

Change: once a server counts as silent, looks at it no longer prolong the lease, and the next look is timed to the lease's end.

Ruled out: lost log lines (none dropped) and requests that never arrived. The test fails without the change after 15 s.

--- a/src/libruntime/node/server_session.cpp
+++ b/src/libruntime/node/server_session.cpp
@@ -79,7 +79,10 @@
     order.token = this->token_value;
     order.acknowledged = this->acknowledged;
     order.wait = wait;
-    if (this->attached && this->clock_offset)
+    // A silent server may be gone for good: its lease has to run out before
+    // its tasks can run elsewhere, so looks at it do not prolong it.
+    if (this->attached && this->clock_offset &&
+        this->silences < silences_to_suspect)
     {
         order.lease_until = this->server_now() + this->options.longest;
         this->note_lease(event_loop::now() + this->options.longest);
@@ -165,8 +168,12 @@
         this->attached = false;
         this->dispatcher.on_runs_gone(this->id_value, now);
     }
-    const auto pause = std::min<milliseconds>(silence_pause * this->silences,
-                                              longest_silence_pause);
+    microseconds pause = std::min<milliseconds>(silence_pause * this->silences,
+                                                longest_silence_pause);
+    if (this->dispatcher.occupied(this->id_value) && this->lease_end > now)
+    {
+        pause = std::min(pause, this->lease_end - now);
+    }
     this->loop.after(pause, [self = this->shared_from_this()]
                      { self->look(milliseconds(0)); });
 }
--- a/standins/users/task_server_standin.cpp
+++ b/standins/users/task_server_standin.cpp
@@ -146,6 +146,10 @@
     const http_request& request,
     const std::shared_ptr<http_responder>& responder)
 {
+    if (this->silent)
+    {
+        return;
+    }
     if (request.target == "/v1/hold")
     {
         this->hold(request.body, responder);
@@ -348,6 +352,10 @@
     {
         this->end_run(task, how);
     }
+    if (this->silent)
+    {
+        return;
+    }
     const auto pending = std::move(this->looks);
     this->looks.clear();
     for (const waiting_look& look : pending)
--- a/standins/users/task_server_standin.hpp
+++ b/standins/users/task_server_standin.hpp
@@ -63,6 +63,8 @@
     /// Tasks make no progress while it is set.
     void set_hanging(bool value) { this->hanging = value; }
     void set_slowdown(double factor) { this->slowdown = factor; }
+    /// Runs go on, but requests are neither carried out nor answered.
+    void set_silent(bool value) { this->silent = value; }
     /// Loses all runs and begins a new life under the same id.
     void crash();
 
@@ -123,6 +125,7 @@
     bool draining = false;
     bool failing = false;
     bool hanging = false;
+    bool silent = false;
     double slowdown = 1.0;
     instant advanced;
 };
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -150,6 +150,24 @@
     BOOST_TEST(this->record.violations().empty());
 }
 
+// Day scale-2 of 2026-12-04: each unanswered look was taken to renew the
+// lease, so the tasks of a silent server never ran elsewhere.
+BOOST_AUTO_TEST_CASE(server_silent_task_runs_elsewhere_after_its_lease)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->submit("a", "0000000000000001", 1, 2500, milliseconds(15000));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->add_server("s2");
+    this->servers["s1"]->set_silent(true);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 2);
+    BOOST_TEST(this->record.violations().empty());
+}
+
 BOOST_AUTO_TEST_CASE(server_draining_gets_no_new_tasks)
 {
     this->add_server("s1");
