Look sooner at servers that lose answers

Cause: a look waits 90 ms for the next end and is given up 60 ms later; when its answer is lost, the ends of short tasks show only 150 to 260 ms after them.

Change: when looks are sent, how long they wait and when a server counts as silent is decided by a class of its own, look_schedule.

--- a/src/libruntime/node/server_session.cpp
+++ b/src/libruntime/node/server_session.cpp
@@ -10,15 +10,8 @@
 namespace
 {
 
-/// How long a look waits for an end. A look whose answer is lost hides the
-/// ends of a busy server for as long; an idle one is looked at for its health.
-constexpr milliseconds busy_look_wait{90};
-constexpr milliseconds idle_look_wait{400};
-/// Looks without an answer after which a server gets no new tasks.
-constexpr std::uint32_t silences_to_suspect = 2;
-/// Pause before a server that does not answer is asked again.
-constexpr milliseconds silence_pause{50};
-constexpr milliseconds longest_silence_pause{500};
+/// Pause before a stop that was not confirmed is repeated.
+constexpr milliseconds stop_pause{50};
 /// Servers' clocks may be slow by 2 %, and orders take time to arrive.
 constexpr milliseconds lease_slack{60};
 /// Pause between looks at a server that is being taken over.
@@ -50,6 +43,7 @@
     , dispatcher(owner)
     , fenced(std::move(on_fenced))
     , born(info.born)
+    , schedule(event_loop::now())
 {
 }
 
@@ -82,7 +76,7 @@
     // A silent server may be gone for good: its lease has to run out before
     // its tasks can run elsewhere, so looks at it do not prolong it.
     if (this->attached && this->clock_offset &&
-        this->silences < silences_to_suspect)
+        !this->schedule.silent(event_loop::now()))
     {
         order.lease_until = this->server_now() + this->options.longest;
         this->note_lease(event_loop::now() + this->options.longest);
@@ -128,9 +122,9 @@
         {
             if (this->attached)
             {
-                this->look(this->dispatcher.occupied(this->id_value)
-                               ? busy_look_wait
-                               : idle_look_wait);
+                this->look(this->schedule.wait(
+                    this->dispatcher.occupied(this->id_value),
+                    event_loop::now()));
             }
             else
             {
@@ -156,20 +150,19 @@
 
 void server_session::on_silence()
 {
-    ++this->silences;
-    if (this->silences >= silences_to_suspect)
+    const instant now = event_loop::now();
+    this->schedule.on_unanswered(now);
+    if (this->schedule.silent(now))
     {
         this->set_reachable(false, "no listing");
     }
-    const instant now = event_loop::now();
     if (now >= this->lease_end && this->dispatcher.occupied(this->id_value))
     {
         LOG(INFO) << "server: lease ended; server=" << this->id_value;
         this->attached = false;
         this->dispatcher.on_runs_gone(this->id_value, now);
     }
-    microseconds pause = std::min<milliseconds>(silence_pause * this->silences,
-                                                longest_silence_pause);
+    microseconds pause = this->schedule.pause();
     if (this->dispatcher.occupied(this->id_value) && this->lease_end > now)
     {
         pause = std::min(pause, this->lease_end - now);
@@ -182,7 +175,7 @@
                                     instant asked_at)
 {
     const instant now = event_loop::now();
-    this->silences = 0;
+    this->schedule.on_answer(now);
     if (listing.born != 0 && this->born != 0 && listing.born != this->born)
     {
         this->on_reborn();
@@ -280,6 +273,10 @@
                 return;
             }
             const instant now = event_loop::now();
+            if (verdict == start_verdict::unanswered)
+            {
+                self->schedule.on_order_unanswered(now);
+            }
             self->dispatcher.on_start_result(self->id_value, run, verdict, now);
             if (verdict == start_verdict::fenced)
             {
@@ -319,7 +316,7 @@
                             }
                             if (self->dispatcher.knows(self->id_value, run))
                             {
-                                self->loop.after(silence_pause, [self, run]
+                                self->loop.after(stop_pause, [self, run]
                                                  { self->stop(run); });
                             }
                         });
--- a/src/libruntime/node/server_session.hpp
+++ b/src/libruntime/node/server_session.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/look_schedule.hpp"
 #include "dispatch/pool_dispatcher.hpp"
 #include "node/event_loop.hpp"
 #include "node/platform_ports.hpp"
@@ -80,7 +81,7 @@
     std::uint64_t born = 0;
     std::optional<microseconds> clock_offset; ///< server's clock minus ours
     instant lease_end{0}; ///< nothing of ours runs there after this
-    std::uint32_t silences = 0;
+    look_schedule schedule;
 };
 
 } // namespace jujubedrum
