--- a/src/libjujubedrum/dispatch/pool_election.cpp
+++ b/src/libjujubedrum/dispatch/pool_election.cpp
@@ -10,6 +10,12 @@
 namespace
 {
 
+/// All machines of a platform start within 0.3 s; at a first start the others
+/// announce themselves within this time.
+constexpr milliseconds settle_time{200};
+/// Longest wait for announced instances that cannot be reached.
+constexpr milliseconds longest_settle_time{500};
+
 /// Returns the instances that may hold a pool of the domain, best first:
 /// those of the domain, or all if none of it lives.
 std::vector<const instance_view*>
@@ -53,6 +59,19 @@
 
 } // namespace
 
+bool pool_election::may_begin(const start_view& start)
+{
+    if (start.age >= longest_settle_time)
+    {
+        return true;
+    }
+    if (!start.members_read || start.unreached > 0)
+    {
+        return false;
+    }
+    return start.has_run_before || start.age >= settle_time;
+}
+
 pool_id pool_of(const server_info& server)
 {
     return {server.domain, static_cast<std::uint32_t>(stable_hash(server.id) %
--- a/src/libjujubedrum/dispatch/pool_election.hpp
+++ b/src/libjujubedrum/dispatch/pool_election.hpp
@@ -56,12 +56,28 @@
     bool operator==(const instance_view&) const = default;
 };
 
+/// What an instance knows of the others shortly after its start.
+struct start_view
+{
+    milliseconds age{0};         ///< since its start
+    bool members_read = false;   ///< the announcements of others were read
+    bool has_run_before = false; ///< one of them is of its own earlier life
+    std::size_t unreached = 0;   ///< announced instances without a link
+
+    bool operator==(const start_view&) const = default;
+};
+
 /// Decides which pools an instance takes or gives up, from what it hears of
 /// the others. Two instances that decide differently do no harm, since the
 /// fencing token settles it at the servers.
 class pool_election
 {
 public:
+    /// Returns whether an instance that started knows enough of the others to
+    /// take pools. Answers to a restart of all instances: those of before are
+    /// announced, so it takes no longer than reaching them.
+    [[nodiscard]] static bool may_begin(const start_view& start);
+
     /// Returns the pools that `self` should take now: those without a live
     /// holder for which it is the first candidate.
     /// \param live instances that were heard of lately, without `self`.
--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -19,10 +19,6 @@
 /// Time between announcements; three fit into the members' lifetime, and the
 /// shortest history of the store is 20 s.
 constexpr seconds announce_interval{5};
-/// After its start an instance waits this long for the others, and at most the
-/// second time if some announced ones cannot be reached.
-constexpr milliseconds settle_time{200};
-constexpr milliseconds longest_settle_time{500};
 /// How long the store must have answered, and no instance of another domain
 /// been heard of, before pools of that domain are taken. Just after a cut this
 /// instance has not yet found the others again.
@@ -46,6 +42,11 @@
 constexpr milliseconds stop_margin{600};
 /// Asked back after a request that found no holder.
 constexpr milliseconds no_holder_retry{500};
+/// How long there may be no holder until requests are refused at once: a lost
+/// one is replaced after 0.4 s, and after a restart of all instances pools are
+/// taken within 0.5 s. A caller that waits as long is served sooner than one
+/// that is asked back.
+constexpr milliseconds holder_patience{600};
 /// Holders that are asked before a job is refused.
 constexpr std::size_t most_holders_asked = 2;
 
@@ -100,6 +101,7 @@
            {values.instance(), values.announced_peers().address,
             values.announced_peers().port, life},
            *this)
+    , last_routed(event_loop::now())
     , started(event_loop::now())
 {
 }
@@ -258,10 +260,11 @@
     }
     if (!best)
     {
-        this->finish_job(ticket,
-                         {job_outcome::refused, "no holder", no_holder_retry});
+        this->await_holder(ticket, job);
         return;
     }
+    this->unrouted.erase(ticket);
+    this->last_routed = event_loop::now();
     job.link = *best;
     job.expected_wait = best_wait;
     job.load_age = this->mesh.age(*best);
@@ -284,6 +287,39 @@
                     submit_message{ticket, job.request, this->terms_now(job)});
 }
 
+void dispatch_node::await_holder(std::uint64_t ticket, const open_job& job)
+{
+    const instant now = event_loop::now();
+    const auto ideal =
+        pooled_job::create(job.request, job.terms, {}, instant(0))
+            .longest_chain();
+    const instant latest = job.accepted + job.terms.time_left - ideal;
+    const bool expected = now - this->last_routed < holder_patience;
+    if (expected && job.tried.empty() && !this->draining && now < latest)
+    {
+        this->unrouted.insert(ticket);
+        return;
+    }
+    this->unrouted.erase(ticket);
+    this->finish_job(ticket,
+                     {job_outcome::refused, "no holder", no_holder_retry});
+}
+
+void dispatch_node::route_waiting()
+{
+    const std::set<std::uint64_t> tickets = this->unrouted;
+    for (const std::uint64_t ticket : tickets)
+    {
+        const auto at = this->open_jobs.find(ticket);
+        if (at == this->open_jobs.end())
+        {
+            this->unrouted.erase(ticket);
+            continue;
+        }
+        this->route_job(ticket, at->second);
+    }
+}
+
 job_terms dispatch_node::terms_now(const open_job& job)
 {
     job_terms terms = job.terms;
@@ -422,7 +458,8 @@
 
 void dispatch_node::on_hello(std::uint64_t link, const hello_message& hello)
 {
-    if (this->peers.count(link) == 0)
+    const bool added = this->peers.count(link) == 0;
+    if (added)
     {
         LOG(INFO) << "peer: up; name=" << hello.instance.name
                   << " domain=" << hello.instance.domain
@@ -434,6 +471,10 @@
         std::uint64_t& highest = this->highest_token[hold.pool];
         highest = std::max(highest, hold.token);
     }
+    if (added && this->held.empty())
+    {
+        this->elect();
+    }
 }
 
 void dispatch_node::on_message(std::uint64_t link,
@@ -675,6 +716,7 @@
         return;
     }
     this->dispatcher.pump(event_loop::now());
+    this->route_waiting();
     this->resubmit_orphans();
     this->expire_jobs();
     if (this->draining)
@@ -696,14 +738,6 @@
     this->loop.after(election_interval, [this] { this->every_election(); });
 }
 
-bool dispatch_node::may_elect() const
-{
-    const auto age = event_loop::now() - this->started;
-    return age >= longest_settle_time ||
-           (age >= settle_time && this->members_read &&
-            this->mesh.unreached() == 0);
-}
-
 std::map<std::string, std::size_t> dispatch_node::electable_servers() const
 {
     const instant now = event_loop::now();
@@ -730,7 +764,12 @@
 
 void dispatch_node::elect()
 {
-    if (this->draining || !this->may_elect())
+    const auto age = std::chrono::duration_cast<milliseconds>(
+        event_loop::now() - this->started);
+    if (this->draining ||
+        !pool_election::may_begin({age, this->members_read,
+                                   this->mesh.has_run_before(),
+                                   this->mesh.unreached()}))
     {
         return;
     }
--- a/src/libruntime/node/dispatch_node.hpp
+++ b/src/libruntime/node/dispatch_node.hpp
@@ -123,11 +123,14 @@
     void on_store(bool reachable, const std::string& reason) override;
 
     void route_job(std::uint64_t ticket, open_job& job);
+    /// Answers a job that no holder can take now, or lets it wait for one.
+    void await_holder(std::uint64_t ticket, const open_job& job);
+    /// Routes the jobs that waited for a holder.
+    void route_waiting();
     void finish_job(std::uint64_t ticket, const job_result& result);
     void every_pump();
     void every_election();
     void announce_self();
-    [[nodiscard]] bool may_elect() const;
     void elect();
     /// Returns the servers whose pools may be taken, by failure domain.
     [[nodiscard]] std::map<std::string, std::size_t> electable_servers() const;
@@ -165,6 +168,8 @@
     route_table table;
     std::map<std::uint64_t, open_job> open_jobs;
     std::uint64_t next_ticket = 1;
+    std::set<std::uint64_t> unrouted; ///< open jobs that wait for a holder
+    instant last_routed;              ///< when a holder could be chosen last
     /// Start verdicts other than accepted, refusals, takeovers and the like.
     std::map<std::string, std::uint64_t> event_counts;
     latency_histogram job_times;
--- a/src/libruntime/node/peer_mesh.cpp
+++ b/src/libruntime/node/peer_mesh.cpp
@@ -296,9 +296,10 @@
     const instant now = event_loop::now();
     for (const member_record& record : announced)
     {
-        // An earlier life of this instance had the same name.
         if (record.name == this->self.name)
         {
+            this->ran_before =
+                this->ran_before || record.boot != this->self.boot;
             continue;
         }
         known_member& member = this->members[record.name];
--- a/src/libruntime/node/peer_mesh.hpp
+++ b/src/libruntime/node/peer_mesh.hpp
@@ -87,7 +87,10 @@
     [[nodiscard]] bool trusted(std::uint64_t link) const;
     /// Returns how long ago the link was heard of; 0 for an unknown one.
     [[nodiscard]] milliseconds age(std::uint64_t link) const;
+    /// Returns the announced instances without a link.
     [[nodiscard]] std::size_t unreached() const;
+    /// Returns whether an announcement of an earlier life was read.
+    [[nodiscard]] bool has_run_before() const { return this->ran_before; }
     void stop();
 
 private:
@@ -129,6 +132,7 @@
     std::map<std::string, doubted_peer> doubted; ///< by name
     std::string hello_frame;
     bool holding = false;
+    bool ran_before = false;
     instant next_hello{0};
     std::uint64_t next_link = 1;
     instant started;
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -180,6 +180,30 @@
     BOOST_REQUIRE(this->wait([&] { return this->servers_of("a") == 1; }));
 }
 
+// After a restart of all instances requests come before any pool is taken.
+BOOST_AUTO_TEST_CASE(just_started_job_waits_for_first_holder)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    this->submit("a", "0000000000000001", 1, 30);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 1);
+}
+
+// Without hope for a holder the caller learns it at once.
+BOOST_AUTO_TEST_CASE(no_holder_for_long_refused_at_once)
+{
+    this->start_node("a");
+    this->submit("a", "0000000000000001", 1, 30);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    this->submit("a", "0000000000000002", 1, 30);
+    BOOST_REQUIRE(this->results.count("0000000000000002") == 1);
+    BOOST_CHECK(this->results["0000000000000002"].outcome ==
+                job_outcome::refused);
+}
+
 // A refusal has to be true: no task of the job has started.
 BOOST_AUTO_TEST_CASE(no_holder_refused_and_not_run)
 {
--- a/tests/unit/dispatch/pool_election_test.cpp
+++ b/tests/unit/dispatch/pool_election_test.cpp
@@ -24,6 +24,29 @@
 
 BOOST_AUTO_TEST_SUITE(pool_election_suite)
 
+// At a first start the machines come up within 0.3 s, the largest perhaps last.
+BOOST_AUTO_TEST_CASE(first_start_waits_for_others_to_announce_themselves)
+{
+    BOOST_TEST(!pool_election::may_begin({milliseconds(50), true, false, 0}));
+    BOOST_TEST(pool_election::may_begin({milliseconds(250), true, false, 0}));
+}
+
+// Days of 2026-12-04 that end with a power loss: requests were refused for
+// another 0.2 s although all instances were linked again.
+BOOST_AUTO_TEST_CASE(restart_all_reached_begins_at_once)
+{
+    BOOST_TEST(pool_election::may_begin({milliseconds(20), true, true, 0}));
+    BOOST_TEST(!pool_election::may_begin({milliseconds(20), true, true, 1}));
+    BOOST_TEST(!pool_election::may_begin({milliseconds(20), false, true, 0}));
+}
+
+BOOST_AUTO_TEST_CASE(announced_instance_gone_begins_after_longest_wait)
+{
+    BOOST_TEST(!pool_election::may_begin({milliseconds(400), true, true, 1}));
+    BOOST_TEST(pool_election::may_begin({milliseconds(500), true, true, 1}));
+    BOOST_TEST(pool_election::may_begin({milliseconds(500), false, false, 0}));
+}
+
 BOOST_AUTO_TEST_CASE(pools_no_holder_taken_by_first_candidate_only)
 {
     const auto a = make_instance("a", "d1");
