Answer in progress for ids that cannot be claimed; end the listener gently

Cause: an id that could not be claimed while the log was down was answered not_run, although an instance that is cut off may run an earlier copy. Change: the answer is in_progress, nothing is stored, and the id may be claimed again; the first record of the id decides, also a late one of the first claim.

Cause, traced: callers that are answered at once while an instance drains reconnect thousands of times a second; shutdown() of the listening socket resets those that wait to be accepted. Change: a filter drops new connections first, and the queue is emptied before the socket ends.

--- a/src/jujubedrumctl/job_calls.cpp
+++ b/src/jujubedrumctl/job_calls.cpp
@@ -14,6 +14,7 @@
 
 using std::chrono::milliseconds;
 using steady = std::chrono::steady_clock;
+using json = nlohmann::ordered_json;
 
 constexpr milliseconds first_pause(50);
 constexpr milliseconds longest_pause(1000);
@@ -21,6 +22,18 @@
 // that a lost reply leaves time for another try.
 constexpr milliseconds longest_call(35000);
 
+/// Returns whether the instance could not claim the job's id, and so will not
+/// run the job unless it is submitted again.
+bool is_unclaimed(const entry_reply& reply)
+{
+    const auto reason = reply.body.is_object()
+                            ? reply.body.value("reason", json::object())
+                            : json::object();
+    return outcome_code(reply) == exit_code::in_progress &&
+           reason.is_object() &&
+           reason.value("code", std::string()) == "log_unavailable";
+}
+
 } // namespace
 
 job_calls::job_calls(entry_client& client, std::chrono::milliseconds deadline)
@@ -33,11 +46,21 @@
                             const std::string& body)
 {
     entry_reason why;
-    const auto reply = this->call("POST", "/v1/jobs", body, why);
+    auto reply = this->call("POST", "/v1/jobs", body, why);
+    while (reply && is_unclaimed(*reply) && this->remaining() > longest_pause)
+    {
+        std::this_thread::sleep_for(longest_pause);
+        reply = this->call("POST", "/v1/jobs", body, why);
+    }
     if (!reply)
     {
         return this->no_reply(line, id, why);
     }
+    if (is_unclaimed(*reply))
+    {
+        print_reply(line, *reply);
+        return exit_code::in_progress;
+    }
     if (outcome_code(*reply) == exit_code::in_progress)
     {
         return this->collect(line, id);
--- a/src/libjujubedrum/engine/dispatch_engine.cpp
+++ b/src/libjujubedrum/engine/dispatch_engine.cpp
@@ -910,16 +910,25 @@
     }
     const claiming_job job = std::move(found->second);
     this->claiming.erase(found);
-    this->end_unsent(
-        job.job, job.waiters,
-        job.sent_to.empty()
-            ? outcome::not_run(outcome_reason::log_unavailable,
-                               "the id could not be claimed on the platform's "
-                               "log; use an issued id, or try again",
-                               true)
-            : outcome::failed(outcome_reason::log_unavailable,
-                              "a peer may have run the job, and neither it nor "
-                              "the log tells"));
+    if (!job.sent_to.empty())
+    {
+        this->end_unsent(
+            job.job, job.waiters,
+            outcome::failed(outcome_reason::log_unavailable,
+                            "a peer may have run the job, and neither it nor "
+                            "the log tells"));
+        return;
+    }
+    // Another instance may run an earlier copy of the job: without the log
+    // nobody can tell, so nothing final may be stated.
+    for (const request_token token : job.waiters)
+    {
+        this->reply(token, verdict.id,
+                    outcome::in_progress(
+                        outcome_reason::log_unavailable,
+                        "the id could not be claimed on the platform's log; "
+                        "submit the job again with the same id"));
+    }
 }
 
 void dispatch_engine::settle_lost(const claim_verdict& verdict,
--- a/src/libjujubedrum/jobs/claim_ledger.cpp
+++ b/src/libjujubedrum/jobs/claim_ledger.cpp
@@ -42,7 +42,7 @@
                          "be ruled out");
         return false;
     }
-    if (this->pending_claims.contains(id) || this->answer_known(id))
+    if (this->pending_claims.contains(id) || this->answer_known(id, digest))
     {
         return true;
     }
@@ -52,25 +52,31 @@
                          "too many claims are waiting for the log");
         return false;
     }
-    this->pending_claims.emplace(id, pending_claim{digest, created_at, 0});
+    this->pending_claims.emplace(id, pending_claim{digest, created_at, now, 0});
     this->waiting.push_back(id);
     this->due.emplace_back(now, id);
     return true;
 }
 
-bool claim_ledger::answer_known(const std::string& id)
+bool claim_ledger::answer_known(const std::string& id,
+                                const std::string& digest)
 {
-    if (this->withdrawn.contains(id))
-    {
-        this->emit_withdrawn(id);
-        return true;
-    }
     const auto known = this->claims.find(id);
     if (known == this->claims.end())
     {
+        // Nobody was told that the id did not run, so it may be claimed again.
+        this->forget_withdrawn(id);
         return false;
     }
-    this->emit_lost(id, known->second);
+    const holder& first = known->second;
+    if (this->is_self(first.instance, first.incarnation) &&
+        first.digest == digest && this->forget_withdrawn(id))
+    {
+        // The record came after the timeout; nothing was started under it.
+        this->emit_won(id, digest);
+        return true;
+    }
+    this->emit_lost(id, first);
     return true;
 }
 
@@ -211,8 +217,7 @@
     {
         this->apply(claimed, *parsed);
     }
-    if (parsed->by == this->instance &&
-        parsed->incarnation == this->incarnation)
+    if (this->is_self(parsed->by, parsed->incarnation))
     {
         this->outstanding.erase(parsed->nonce);
     }
@@ -240,21 +245,29 @@
     }
     const pending_claim pending = found->second;
     this->pending_claims.erase(found);
-    if (record.by != this->instance || record.incarnation != this->incarnation)
+    if (!this->is_self(record.by, record.incarnation))
     {
         this->emit_lost(claimed.id,
                         {record.by, record.incarnation, claimed.digest, {}});
         return;
     }
-    // An own record with another nonce belongs to an append that was reported
-    // as not written; the id was not started and must not start under both.
-    if (pending.nonce != record.nonce || !this->verifiable(pending.created_at))
+    // The first own record decides, also one of an append that was reported as
+    // not written or was withdrawn: the id was never started under it, and
+    // later records of the id are not applied.
+    if (!this->verifiable(pending.created_at))
     {
         this->withdraw(claimed.id, pending.created_at);
         return;
     }
-    this->verdicts.push_back({claimed.id, claim_result::won, this->instance,
-                              this->incarnation, pending.digest});
+    if (pending.digest != claimed.digest)
+    {
+        // It claims the job for which the id was first submitted here.
+        this->remember_withdrawn(claimed.id, pending.created_at);
+        this->emit_lost(claimed.id,
+                        {record.by, record.incarnation, claimed.digest, {}});
+        return;
+    }
+    this->emit_won(claimed.id, pending.digest);
 }
 
 void claim_ledger::expire(instant now, wall_time wall)
@@ -338,11 +351,30 @@
 
 void claim_ledger::withdraw(const std::string& id, wall_time created_at)
 {
-    if (this->withdrawn.insert(id).second)
+    this->remember_withdrawn(id, created_at);
+    this->verdicts.push_back(
+        {id, claim_result::withdrawn, this->instance, this->incarnation, ""});
+}
+
+void claim_ledger::remember_withdrawn(const std::string& id,
+                                      wall_time created_at)
+{
+    if (this->withdrawn.emplace(id, created_at).second)
     {
         this->withdrawn_by_age.emplace(created_at, id);
     }
-    this->emit_withdrawn(id);
+}
+
+bool claim_ledger::forget_withdrawn(const std::string& id)
+{
+    const auto found = this->withdrawn.find(id);
+    if (found == this->withdrawn.end())
+    {
+        return false;
+    }
+    this->withdrawn_by_age.erase({found->second, id});
+    this->withdrawn.erase(found);
+    return true;
 }
 
 void claim_ledger::withdraw_due(instant now)
@@ -353,7 +385,8 @@
         const std::string id = std::move(this->due.front().second);
         this->due.pop_front();
         const auto found = this->pending_claims.find(id);
-        if (found != this->pending_claims.end())
+        if (found != this->pending_claims.end() &&
+            now - found->second.asked >= this->settings.timeout)
         {
             const wall_time created_at = found->second.created_at;
             this->pending_claims.erase(found);
@@ -372,10 +405,15 @@
                               first.incarnation, first.digest});
 }
 
-void claim_ledger::emit_withdrawn(const std::string& id)
+void claim_ledger::emit_won(const std::string& id, const std::string& digest)
 {
     this->verdicts.push_back(
-        {id, claim_result::withdrawn, this->instance, this->incarnation, ""});
+        {id, claim_result::won, this->instance, this->incarnation, digest});
+}
+
+bool claim_ledger::is_self(const std::string& by, std::uint64_t life) const
+{
+    return by == this->instance && life == this->incarnation;
 }
 
 } // namespace jujubedrum
--- a/src/libjujubedrum/jobs/claim_ledger.hpp
+++ b/src/libjujubedrum/jobs/claim_ledger.hpp
@@ -48,7 +48,7 @@
 {
     won,       ///< this process alone may start the id
     lost,      ///< an earlier claim of the id is on the stream
-    withdrawn, ///< unresolved in time: this process never starts the id
+    withdrawn, ///< unresolved in time: not started here unless claimed again
 };
 
 /// How the claim of one id ended.
@@ -86,7 +86,8 @@
     claim_ledger(std::string instance, std::uint64_t incarnation,
                  claim_settings settings, std::uint64_t first_nonce);
 
-    /// Asks for an id; a verdict follows. Returns false with `too_old`,
+    /// Asks for an id, also again after it was withdrawn; a verdict follows.
+    /// Returns false with `too_old`,
     /// `in_future` or `out_of_memory` and then emits no verdict.
     bool claim(const std::string& id, const std::string& digest,
                wall_time created_at, instant now, wall_time wall,
@@ -154,6 +155,7 @@
     {
         std::string digest;
         wall_time created_at{};
+        instant asked{};
         /// Nonce of the append that carries the id; 0 while it waits.
         std::uint64_t nonce = 0;
     };
@@ -166,7 +168,7 @@
 
     [[nodiscard]] bool verifiable(wall_time created_at) const;
     /// Returns whether the id has a verdict already, and emits it again.
-    bool answer_known(const std::string& id);
+    bool answer_known(const std::string& id, const std::string& digest);
     [[nodiscard]] microseconds append_interval() const;
     std::vector<claimed_id> next_batch(std::uint64_t nonce);
     void advance(wall_time wall);
@@ -177,9 +179,13 @@
     void remember(const claimed_id& claimed, const claim_record& record);
     void decide(const claimed_id& claimed, const claim_record& record);
     void withdraw(const std::string& id, wall_time created_at);
+    void remember_withdrawn(const std::string& id, wall_time created_at);
+    /// Returns whether the id was withdrawn and not claimed again since.
+    bool forget_withdrawn(const std::string& id);
     void withdraw_due(instant now);
     void emit_lost(const std::string& id, const holder& first);
-    void emit_withdrawn(const std::string& id);
+    void emit_won(const std::string& id, const std::string& digest);
+    [[nodiscard]] bool is_self(const std::string& by, std::uint64_t life) const;
 
     std::string instance;
     std::uint64_t incarnation;
@@ -197,12 +203,12 @@
     std::set<std::pair<wall_time, std::string>> claims_by_age;
     std::unordered_map<std::string, pending_claim> pending_claims;
     std::deque<std::string> waiting;
-    /// When each id was claimed, the oldest first. An id is claimed once: it
-    /// is decided or withdrawn afterwards.
+    /// When each id was claimed, the oldest first. An id that is claimed again
+    /// has several entries.
     std::deque<std::pair<instant, std::string>> due;
     std::map<std::uint64_t, batch> outstanding;
     std::set<std::pair<wall_time, std::string>> withdrawn_by_age;
-    std::unordered_set<std::string> withdrawn;
+    std::unordered_map<std::string, wall_time> withdrawn;
     std::vector<claim_verdict> verdicts;
     std::uint64_t malformed_count = 0;
     std::uint64_t gap_count = 0;
--- a/src/libjujubedrum/jobs/outcome.hpp
+++ b/src/libjujubedrum/jobs/outcome.hpp
@@ -29,7 +29,7 @@
     overloaded,           ///< not_run: a bounded queue or table is full
     deadline,             ///< the deadline passed or cannot be met
     draining,             ///< not_run: the instance is stopping
-    log_unavailable,      ///< not_run: the id could not be claimed
+    log_unavailable,      ///< in_progress: the id could not be claimed
     cancelled,            ///< the caller cancelled the job
     task_failed,          ///< a task failed permanently
     instance_dead,        ///< failed: the instance that ran the job is gone
--- a/src/libruntime/http_frontend.cpp
+++ b/src/libruntime/http_frontend.cpp
@@ -2,9 +2,12 @@
 
 #include "base/hash.hpp"
 #include "connection_pool.hpp"
+#include "listener_stop.hpp"
 #include "logging.hpp"
 
 #include <algorithm>
+#include <cerrno>
+#include <cstring>
 #include <future>
 #include <utility>
 
@@ -29,6 +32,10 @@
 /// up.
 constexpr seconds keep_alive_timeout{5};
 
+/// Longest wait at a stop for connections to be accepted, which takes
+/// microseconds each.
+constexpr milliseconds accept_limit{1000};
+
 /// Threads for each configured one, so that as many idle connections as there
 /// are configured threads leave room for new ones.
 constexpr std::size_t thread_growth = 4;
@@ -155,6 +162,17 @@
     {
         return;
     }
+    // Ending the socket resets connections that wait to be accepted.
+    if (!listener_stop::refuse_new(this->listener))
+    {
+        LOG(WARNING) << "http: new connections may be reset; reason=\""
+                     << std::strerror(errno) << "\"";
+    }
+    if (!listener_stop::wait_until_empty(this->listener, accept_limit))
+    {
+        LOG(WARNING) << "http: connections were not accepted in time; limit_ms="
+                     << accept_limit.count();
+    }
     // Server::stop() would drop accepted connections whose request has not been
     // read yet. Ending only the listening socket lets the pool serve them; idle
     // ones end after the keep-alive timeout.
--- /dev/null
+++ b/src/libruntime/listener_stop.cpp
@@ -0,0 +1,64 @@
+#include "listener_stop.hpp"
+
+#include <array>
+#include <chrono>
+#include <thread>
+
+#include <linux/filter.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+/// Position of the flags in a TCP header, and the flag of a new connection.
+constexpr unsigned tcp_flags_offset = 13;
+constexpr unsigned tcp_syn = 0x02;
+constexpr unsigned keep_all = 0xffff;
+
+/// Handshakes under way end within a round trip; the queue has to stay empty
+/// for longer.
+constexpr milliseconds quiet_time{50};
+constexpr milliseconds poll_pause{1};
+
+} // namespace
+
+bool listener_stop::refuse_new(int listener)
+{
+    std::array<sock_filter, 4> code{{
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, tcp_flags_offset),
+        BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, tcp_syn, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, 0),
+        BPF_STMT(BPF_RET | BPF_K, keep_all),
+    }};
+    const sock_fprog program{static_cast<unsigned short>(code.size()),
+                             code.data()};
+    return ::setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                        sizeof(program)) == 0;
+}
+
+bool listener_stop::wait_until_empty(int listener, milliseconds limit)
+{
+    using clock = std::chrono::steady_clock;
+    const auto end = clock::now() + limit;
+    auto empty_since = clock::now();
+    while (clock::now() < end)
+    {
+        pollfd waiting{listener, POLLIN, 0};
+        if (::poll(&waiting, 1, 0) != 0)
+        {
+            empty_since = clock::now();
+        }
+        if (clock::now() - empty_since >= quiet_time)
+        {
+            return true;
+        }
+        std::this_thread::sleep_for(poll_pause);
+    }
+    return false;
+}
+
+} // namespace jujubedrum
