Read the list of servers only where pools may be held

Cause: every instance read every record of every server each 0.4 s.

Change: the list is followed by instances that hold pools and by the first six candidates of each failure domain; others forget it. An instance among more than 40 waits for its place before it reads. When the history was lost, servers missing from the whole list now count as gone.

--- a/src/libjujubedrum/dispatch/pool_election.cpp
+++ b/src/libjujubedrum/dispatch/pool_election.cpp
@@ -78,6 +78,13 @@
                                                       pools_per_domain)};
 }
 
+bool pool_election::watches_servers(const instance_view& self,
+                                    const std::vector<instance_view>& live)
+{
+    return !self.holds.empty() ||
+           rank(self, live, {self.domain, 0}) < server_watchers;
+}
+
 bool pool_election::holds(const instance_view& instance, const pool_id& pool)
 {
     return std::any_of(instance.holds.begin(), instance.holds.end(),
--- a/src/libjujubedrum/dispatch/pool_election.hpp
+++ b/src/libjujubedrum/dispatch/pool_election.hpp
@@ -30,6 +30,10 @@
 /// about 400 starts a second at 10 a server, a tenth of a core.
 constexpr std::size_t servers_per_holder = 40;
 
+/// Instances of a failure domain that follow the list of backend servers: all
+/// that may hold pools, and two that may succeed them.
+constexpr std::size_t server_watchers = pools_per_domain + 2;
+
 /// Returns the pool of a server.
 [[nodiscard]] pool_id pool_of(const server_info& server);
 
@@ -86,6 +90,11 @@
     to_take(const instance_view& self, const std::vector<instance_view>& live,
             const std::map<std::string, std::size_t>& servers);
 
+    /// Returns whether `self` may hold pools soon and has to know the servers.
+    [[nodiscard]] static bool
+    watches_servers(const instance_view& self,
+                    const std::vector<instance_view>& live);
+
     [[nodiscard]] static bool holds(const instance_view& instance,
                                     const pool_id& pool);
 
--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -47,6 +47,9 @@
 /// taken within 0.5 s. A caller that waits as long is served sooner than one
 /// that is asked back.
 constexpr milliseconds holder_patience{600};
+/// Announced instances up to which a new one reads the list of servers before
+/// it knows its place among them. More would read it all at once.
+constexpr std::size_t few_members = 40;
 /// Holders that are asked before a job is refused.
 constexpr std::size_t most_holders_asked = 2;
 
@@ -692,10 +695,28 @@
     this->check_servers();
 }
 
+void dispatch_node::on_server_ids(const std::set<std::string>& ids)
+{
+    for (auto& [id, known] : this->servers)
+    {
+        if (ids.count(id) == 0 && !known.missing_since)
+        {
+            LOG(INFO) << "server: not in the list; server=" << id;
+            known.missing_since = event_loop::now();
+        }
+    }
+    this->check_servers();
+}
+
 void dispatch_node::on_members(const std::vector<member_record>& members)
 {
+    const bool first = !this->members_read;
     this->members_read = true;
     this->mesh.on_members(members);
+    if (first)
+    {
+        this->choose_server_watch();
+    }
 }
 
 void dispatch_node::on_store(bool reachable, const std::string& reason)
@@ -732,6 +753,7 @@
     {
         return;
     }
+    this->choose_server_watch();
     this->check_servers();
     this->elect();
     this->refresh_hello();
@@ -762,14 +784,33 @@
     return counts;
 }
 
-void dispatch_node::elect()
+bool dispatch_node::settled() const
 {
     const auto age = std::chrono::duration_cast<milliseconds>(
         event_loop::now() - this->started);
-    if (this->draining ||
-        !pool_election::may_begin({age, this->members_read,
-                                   this->mesh.has_run_before(),
-                                   this->mesh.unreached()}))
+    return pool_election::may_begin({age, this->members_read,
+                                     this->mesh.has_run_before(),
+                                     this->mesh.unreached()});
+}
+
+void dispatch_node::choose_server_watch()
+{
+    const bool wanted =
+        this->settled()
+            ? pool_election::watches_servers(this->self_view(),
+                                             this->mesh.live())
+            : this->members_read && this->mesh.known() <= few_members;
+    if (!wanted && this->sessions.empty())
+    {
+        // What is known of the servers ages from now on.
+        this->servers.clear();
+    }
+    this->store.watch_servers(wanted || !this->sessions.empty());
+}
+
+void dispatch_node::elect()
+{
+    if (this->draining || !this->settled())
     {
         return;
     }
--- a/src/libruntime/node/dispatch_node.hpp
+++ b/src/libruntime/node/dispatch_node.hpp
@@ -119,6 +119,7 @@
     // store_listener
     void on_configuration(route_document document) override;
     void on_servers(const std::vector<server_change>& changes) override;
+    void on_server_ids(const std::set<std::string>& ids) override;
     void on_members(const std::vector<member_record>& members) override;
     void on_store(bool reachable, const std::string& reason) override;
 
@@ -131,6 +132,10 @@
     void every_pump();
     void every_election();
     void announce_self();
+    /// Returns whether enough is known of the others to take pools.
+    [[nodiscard]] bool settled() const;
+    /// Follows the list of servers only where it may be needed.
+    void choose_server_watch();
     void elect();
     /// Returns the servers whose pools may be taken, by failure domain.
     [[nodiscard]] std::map<std::string, std::size_t> electable_servers() const;
--- a/src/libruntime/node/peer_mesh.hpp
+++ b/src/libruntime/node/peer_mesh.hpp
@@ -87,6 +87,8 @@
     [[nodiscard]] bool trusted(std::uint64_t link) const;
     /// Returns how long ago the link was heard of; 0 for an unknown one.
     [[nodiscard]] milliseconds age(std::uint64_t link) const;
+    /// Returns the number of announced instances.
+    [[nodiscard]] std::size_t known() const { return this->members.size(); }
     /// Returns the announced instances without a link.
     [[nodiscard]] std::size_t unreached() const;
     /// Returns whether an announcement of an earlier life was read.
--- a/src/libruntime/node/platform_ports.hpp
+++ b/src/libruntime/node/platform_ports.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,8 @@
     virtual ~store_listener() = default;
     virtual void on_configuration(route_document document) = 0;
     virtual void on_servers(const std::vector<server_change>& changes) = 0;
+    /// The whole list was read; servers not in it have no entry.
+    virtual void on_server_ids(const std::set<std::string>& ids) = 0;
     virtual void on_members(const std::vector<member_record>& members) = 0;
     /// The store stopped or began to answer.
     virtual void on_store(bool reachable, const std::string& reason) = 0;
@@ -57,8 +60,11 @@
 {
 public:
     virtual ~shared_store() = default;
-    /// Begins to watch configuration, servers and members.
+    /// Begins to watch configuration and members.
     virtual void watch(store_listener& listener) = 0;
+    /// Begins or ends to watch the list of backend servers, which is long and
+    /// changes all the time. It is read as a whole at each beginning.
+    virtual void watch_servers(bool wanted) = 0;
     /// Announces this instance to the others.
     virtual void announce(const member_record& self) = 0;
     /// Returns a number above all that were returned before, or nothing if
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -180,6 +180,20 @@
     BOOST_REQUIRE(this->wait([&] { return this->servers_of("a") == 1; }));
 }
 
+// The store dropped the history in which the entry was removed.
+BOOST_AUTO_TEST_CASE(server_entry_gone_in_lost_history_is_noticed)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    const auto gone = std::move(this->servers["s1"]);
+    this->servers.erase("s1");
+    this->store.write_server("s1", "");
+    this->store.compact();
+    BOOST_REQUIRE(this->wait([&] { return this->servers_of("a") == 1; }));
+}
+
 // After a restart of all instances requests come before any pool is taken.
 BOOST_AUTO_TEST_CASE(just_started_job_waits_for_first_holder)
 {
--- a/tests/unit/dispatch/pool_election_test.cpp
+++ b/tests/unit/dispatch/pool_election_test.cpp
@@ -147,6 +147,53 @@
     BOOST_TEST(!pool_election::same_holder(before, now));
 }
 
+// The sweep of 2026-12-04: 300 instances that each read the list of 3,000
+// servers used up the store, and changes of the configuration came late.
+BOOST_AUTO_TEST_CASE(servers_watched_by_few_instances_of_each_domain)
+{
+    std::vector<instance_view> all;
+    for (int i = 0; i < 300; ++i)
+    {
+        all.push_back(make_instance("i" + std::to_string(100 + i),
+                                    "d" + std::to_string(i % 3),
+                                    250 + static_cast<std::uint32_t>(i % 7)));
+    }
+    std::map<std::string, std::size_t> watchers;
+    std::map<std::string, std::size_t> servers;
+    for (const char* domain : {"d0", "d1", "d2"})
+    {
+        servers[domain] = 1000;
+    }
+    for (const instance_view& self : all)
+    {
+        std::vector<instance_view> others = all;
+        std::erase(others, self);
+        const bool watches = pool_election::watches_servers(self, others);
+        watchers[self.domain] += watches ? 1 : 0;
+        if (!pool_election::to_take(self, others, servers).empty())
+        {
+            BOOST_TEST(watches);
+        }
+    }
+    for (const auto& [domain, count] : watchers)
+    {
+        BOOST_TEST(count == server_watchers);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(servers_watched_by_holder_whatever_its_rank)
+{
+    auto self = make_instance("z", "d1", 90);
+    std::vector<instance_view> others;
+    for (int i = 0; i < 10; ++i)
+    {
+        others.push_back(make_instance("a" + std::to_string(i), "d1"));
+    }
+    BOOST_TEST(!pool_election::watches_servers(self, others));
+    self.holds.push_back({{"d1", 0}, 1024, true});
+    BOOST_TEST(pool_election::watches_servers(self, others));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubedrum
