Say hello at the pace that each link needs

Cause: every instance said hello to every other one each 250 ms, holders each 100 ms. At 300 instances each one sends and gets 1,200 hellos a second.

Change: each hello tells the time until the next one, and silence is judged by that promise. A class of its own, hello_pace, gives the time for a link: links inside a failure domain and links that carried jobs in the last 2 s stay fast, others get slower with the number of peers. Promises of older versions and absurd ones are bounded.

Ruled out: dropping links between instances that hold nothing; the election of orphaned failure domains needs them.

--- a/src/libruntime/node/dispatch.capnp
+++ b/src/libruntime/node/dispatch.capnp
@@ -20,6 +20,7 @@
   draining @4 :Bool;
   pools @5 :List(PoolHold);
   load @6 :Load;
+  intervalMs @7 :UInt32;
 }
 
 struct Load {
--- a/src/libruntime/node/dispatch.capnp.h
+++ b/src/libruntime/node/dispatch.capnp.h
@@ -55,7 +55,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c4b0bf11dac93599, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c4b0bf11dac93599, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -307,6 +307,8 @@
   inline bool hasLoad() const;
   inline  ::jujubedrum::dispatch_wire::Load::Reader getLoad() const;
 
+  inline  ::uint32_t getIntervalMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -372,6 +374,9 @@
   inline void adoptLoad(::capnp::Orphan< ::jujubedrum::dispatch_wire::Load>&& value);
   inline ::capnp::Orphan< ::jujubedrum::dispatch_wire::Load> disownLoad();
 
+  inline  ::uint32_t getIntervalMs();
+  inline void setIntervalMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1442,6 +1447,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Hello::Reader::getIntervalMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Hello::Builder::getIntervalMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setIntervalMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Load::Reader::getTotalCpu() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/libruntime/node/peer_mesh.cpp
+++ b/src/libruntime/node/peer_mesh.cpp
@@ -1,5 +1,6 @@
 #include "node/peer_mesh.hpp"
 
+#include "dispatch/hello_pace.hpp"
 #include "logging.hpp"
 #include "node/socket_options.hpp"
 
@@ -28,6 +29,8 @@
 /// Of two instances that start together the one with the smaller name dials
 /// first; the other one waits this long.
 constexpr milliseconds dial_patience{1000};
+/// How often links are looked at; the shortest time between two hellos.
+constexpr milliseconds tick{100};
 /// Why a link is closed of which nothing was heard in time.
 constexpr const char* silent_reason = "silent";
 
@@ -66,7 +69,8 @@
         }
         set_socket_options(this->socket);
         this->ready = true;
-        this->send(this->owner.hello_frame);
+        // The peer does not know the link yet: hellos follow at once.
+        this->send(this->owner.frame_of(tick));
         this->read();
     }
 
@@ -278,8 +282,42 @@
 
 void peer_mesh::set_hello(const hello_message& hello)
 {
-    this->hello_frame = encode_frame(hello);
-    this->holding = !hello.instance.holds.empty();
+    this->own_hello = hello;
+    this->hello_frames.clear();
+}
+
+const std::string& peer_mesh::frame_of(milliseconds interval)
+{
+    std::string& frame = this->hello_frames[interval];
+    if (frame.empty())
+    {
+        hello_message hello = this->own_hello;
+        hello.interval = interval;
+        frame = encode_frame(hello);
+    }
+    return frame;
+}
+
+milliseconds peer_mesh::interval_to(const peer_state& peer) const
+{
+    const bool same_domain =
+        peer.hello.instance.domain == this->own_hello.instance.domain;
+    const bool busy = event_loop::now() - peer.last_job < traffic_memory;
+    return hello_pace::interval({!this->own_hello.instance.holds.empty(),
+                                 same_domain || busy, this->peers.size()});
+}
+
+void peer_mesh::say_hello(std::uint64_t number, peer_state& peer)
+{
+    const auto at = this->links.find(number);
+    if (at == this->links.end())
+    {
+        return;
+    }
+    peer.promised = this->interval_to(peer);
+    peer.next_hello = event_loop::now() + peer.promised;
+    // A link that cannot be written to is closed on its own event, not here.
+    at->second->send(this->frame_of(peer.promised));
 }
 
 void peer_mesh::say_hello()
@@ -287,7 +325,27 @@
     const auto all = this->links;
     for (const auto& [number, each] : all)
     {
-        each->send(this->hello_frame);
+        const auto at = this->peers.find(number);
+        if (at != this->peers.end())
+        {
+            this->say_hello(number, at->second);
+        }
+    }
+}
+
+void peer_mesh::say_due_hellos()
+{
+    const instant now = event_loop::now();
+    const auto all = this->links;
+    for (const auto& [number, each] : all)
+    {
+        const auto at = this->peers.find(number);
+        if (at != this->peers.end() &&
+            (now >= at->second.next_hello ||
+             this->interval_to(at->second) < at->second.promised))
+        {
+            this->say_hello(number, at->second);
+        }
     }
 }
 
@@ -360,20 +418,25 @@
 }
 
 void peer_mesh::every_interval()
+{
+    this->close_silent_links();
+    this->dial_missing_members();
+    this->say_due_hellos();
+    this->loop.after(tick, [this] { this->every_interval(); });
+}
+
+void peer_mesh::close_silent_links()
 {
     const instant now = event_loop::now();
     std::vector<std::shared_ptr<link>> silent;
     for (const auto& [number, each] : this->links)
     {
         const auto at = this->peers.find(number);
-        const instant heard =
-            at == this->peers.end() ? each->opened : at->second.heard;
-        milliseconds limit = dial_timeout;
-        if (at != this->peers.end())
-        {
-            limit = at->second.hello.instance.holds.empty() ? peer_timeout
-                                                            : holder_timeout;
-        }
+        const bool known = at != this->peers.end();
+        const instant heard = known ? at->second.heard : each->opened;
+        const milliseconds limit =
+            known ? hello_pace::lost_after(at->second.hello.interval)
+                  : dial_timeout;
         if (now - heard > limit)
         {
             silent.push_back(each);
@@ -383,6 +446,11 @@
     {
         each->close(silent_reason);
     }
+}
+
+void peer_mesh::dial_missing_members()
+{
+    const instant now = event_loop::now();
     std::erase_if(this->members, [now](const auto& entry)
                   { return now - entry.second.seen > member_lifetime; });
     for (auto& [name, member] : this->members)
@@ -392,12 +460,6 @@
             this->dial(member);
         }
     }
-    if (this->holding || now >= this->next_hello)
-    {
-        this->next_hello = now + hello_interval;
-        this->say_hello();
-    }
-    this->loop.after(holder_interval, [this] { this->every_interval(); });
 }
 
 void peer_mesh::on_frame(std::uint64_t number, const dispatch_message& message)
@@ -409,6 +471,7 @@
         if (at != this->peers.end())
         {
             at->second.heard = event_loop::now();
+            at->second.last_job = at->second.heard;
             this->listener.on_message(number, message);
         }
         return;
@@ -416,6 +479,7 @@
     this->doubted.erase(hello->instance.name);
     peer_state& peer = this->peers[number];
     peer.hello = *hello;
+    peer.hello.interval = hello_pace::bounded(hello->interval);
     peer.heard = event_loop::now();
     this->listener.on_hello(number, *hello);
 }
@@ -483,6 +547,11 @@
     {
         return false;
     }
+    const auto peer = this->peers.find(number);
+    if (peer != this->peers.end())
+    {
+        peer->second.last_job = event_loop::now();
+    }
     at->second->send(encode_frame(message));
     return true;
 }
@@ -521,7 +590,8 @@
 {
     const auto at = this->peers.find(number);
     return at != this->peers.end() &&
-           event_loop::now() - at->second.heard <= doubt_after;
+           event_loop::now() - at->second.heard <=
+               hello_pace::doubt_after(at->second.hello.interval);
 }
 
 milliseconds peer_mesh::age(std::uint64_t number) const
--- a/src/libruntime/node/peer_mesh.hpp
+++ b/src/libruntime/node/peer_mesh.hpp
@@ -44,24 +44,15 @@
 };
 
 /// Links to all other instances: one TCP connection for a pair. A peer that
-/// says nothing for `peer_timeout` counts as lost.
+/// says nothing for longer than its own hellos promise counts as lost.
 class peer_mesh
 {
 public:
-    /// Time between two hellos of an instance that holds pools, and of others.
-    static constexpr milliseconds holder_interval{100};
-    static constexpr milliseconds hello_interval{250};
-    /// Silence after which a holder is lost: callers wait for its jobs. Above
-    /// the stalls of a machine whose share of a core is used up (100 ms).
-    static constexpr milliseconds holder_timeout{350};
-    /// Silence after which others are lost. Three hellos may be missing; above
-    /// it, a caller's next attempt (1.3 s) could overlap an orphaned run.
-    static constexpr milliseconds peer_timeout{800};
     /// How long an instance whose link was reset may take to be back before it
     /// counts as gone. One that ended refuses the connection at once.
     static constexpr milliseconds reconnect_time{80};
-    /// Silence after which a holder gets no further jobs.
-    static constexpr milliseconds doubt_after{200};
+    /// A link that carried jobs within this time is likely to carry more.
+    static constexpr seconds traffic_memory{2};
     /// Announcements older than this name instances that are gone.
     static constexpr seconds member_lifetime{18};
 
@@ -83,7 +74,7 @@
     void broadcast(const dispatch_message& message);
     /// Returns the peers that are alive, or whose link was reset just now.
     [[nodiscard]] std::vector<instance_view> live() const;
-    /// Returns whether the link was heard of within `doubt_after`.
+    /// Returns whether the link was heard of lately enough for further jobs.
     [[nodiscard]] bool trusted(std::uint64_t link) const;
     /// Returns how long ago the link was heard of; 0 for an unknown one.
     [[nodiscard]] milliseconds age(std::uint64_t link) const;
@@ -107,6 +98,9 @@
     {
         hello_message hello;
         instant heard{0};
+        instant next_hello{0};    ///< of this instance to the peer
+        milliseconds promised{0}; ///< time between two of them, as announced
+        instant last_job{0};      ///< when a message about a job passed
     };
 
     struct doubted_peer
@@ -122,6 +116,14 @@
     void on_frame(std::uint64_t number, const dispatch_message& message);
     void on_closed(std::uint64_t number, const std::string& reason);
     void every_interval();
+    void close_silent_links();
+    void dial_missing_members();
+    /// Says hello where it is due.
+    void say_due_hellos();
+    void say_hello(std::uint64_t number, peer_state& peer);
+    [[nodiscard]] milliseconds interval_to(const peer_state& peer) const;
+    /// Returns the hello that promises the next one after the time.
+    const std::string& frame_of(milliseconds interval);
     [[nodiscard]] bool linked(const std::string& name) const;
 
     loop_scope loop;
@@ -132,10 +134,9 @@
     std::map<std::uint64_t, peer_state> peers; ///< links that said hello
     std::map<std::string, known_member> members;
     std::map<std::string, doubted_peer> doubted; ///< by name
-    std::string hello_frame;
-    bool holding = false;
+    hello_message own_hello;
+    std::map<milliseconds, std::string> hello_frames; ///< by promised interval
     bool ran_before = false;
-    instant next_hello{0};
     std::uint64_t next_link = 1;
     instant started;
 };
--- a/src/libruntime/node/peer_message.cpp
+++ b/src/libruntime/node/peer_message.cpp
@@ -48,6 +48,7 @@
         pools[i].setClean(in.instance.holds[i].clean);
     }
     put_load(out.initLoad(), in.load);
+    out.setIntervalMs(static_cast<std::uint32_t>(in.interval.count()));
 }
 
 hello_message get_hello(Hello::Reader in)
@@ -65,6 +66,7 @@
                                       hold.getClean()});
     }
     out.load = get_load(in.getLoad());
+    out.interval = milliseconds(in.getIntervalMs());
     return out;
 }
 
--- a/src/libruntime/node/peer_message.hpp
+++ b/src/libruntime/node/peer_message.hpp
@@ -19,6 +19,7 @@
 {
     instance_view instance;
     dispatch_load load;
+    milliseconds interval{0}; ///< until the next hello over the same link
     bool operator==(const hello_message&) const = default;
 };
 
--- a/tests/unit/dispatch/peer_message_test.cpp
+++ b/tests/unit/dispatch/peer_message_test.cpp
@@ -49,6 +49,7 @@
     hello_message hello;
     hello.instance = {"e1", 77, "d1", 250, true, {{{"d1", 3}, 4096}}};
     hello.load = {100, 50, 25, 12.5};
+    hello.interval = milliseconds(360);
     const std::vector<dispatch_message> messages{
         hello,
         result_message{
