Keep one copy of option parsing, acceptors, status codes and test ports

Both daemons share daemon_options; the load tool's two commands share option_parser; http_server and peer_mesh share open_acceptor, which logs why listening failed; status codes of the platform stand in wire_names; the soak and the fixture of whole instances share free_port. No change of behaviour but the new log line.

--- a/src/jujubedrum-load/model_command.cpp
+++ b/src/jujubedrum-load/model_command.cpp
@@ -2,6 +2,7 @@
 
 #include "arrival_schedule.hpp"
 #include "model_cluster.hpp"
+#include "option_parser.hpp"
 #include "perfect_replay.hpp"
 #include "policy_model.hpp"
 
@@ -14,7 +15,6 @@
 #include <string>
 #include <vector>
 
-#include <getopt.h>
 #include <nlohmann/json.hpp>
 
 namespace jujubedrum
@@ -51,7 +51,7 @@
     "                            the longest first\n"
     "  --json                    print JSON instead of a table\n";
 
-using setter = std::function<bool(model_options&, const std::string&)>;
+using setter = option_parser<model_options>::setter;
 
 template <typename Number>
 setter number(Number model_options::*field)
@@ -187,40 +187,18 @@
         {"json", flag(&model_options::json, true)}};
 }
 
-bool is_flag(const std::string& key)
-{
-    return key == "json" || key == "no-hedge" || key == "submission-order";
-}
-
 std::optional<model_options> parse_options(int argc, char** argv)
 {
-    const std::map<std::string, setter> setters = model_setters();
-    std::vector<option> long_options;
-    std::vector<const setter*> by_index;
-    for (const auto& [key, set] : setters)
-    {
-        long_options.push_back({key.c_str(),
-                                is_flag(key) ? no_argument : required_argument,
-                                nullptr, 1});
-        by_index.push_back(&set);
-    }
-    long_options.push_back({nullptr, 0, nullptr, 0});
     model_options options;
-    int index = 0;
-    int found = 0;
-    while ((found = getopt_long(argc, argv, "", long_options.data(), &index)) !=
-           -1)
+    const option_parser<model_options> parser(
+        model_setters(), {"json", "no-hedge", "submission-order"});
+    if (!parser.parse(argc, argv, options))
     {
-        const std::string text = optarg == nullptr ? "" : optarg;
-        if (found != 1 ||
-            !(*by_index[static_cast<std::size_t>(index)])(options, text))
-        {
-            return std::nullopt;
-        }
+        return std::nullopt;
     }
     const bool usable =
-        optind == argc && options.servers > 0 && options.slots > 0 &&
-        options.domains > 0 && options.servers >= options.domains &&
+        options.servers > 0 && options.slots > 0 && options.domains > 0 &&
+        options.servers >= options.domains &&
         options.instances >= options.domains && options.load > 0.0 &&
         options.tasks > 0 && options.heartbeat > microseconds(0);
     return usable ? std::optional(options) : std::nullopt;
--- a/src/jujubedrum-load/run_options.cpp
+++ b/src/jujubedrum-load/run_options.cpp
@@ -1,10 +1,8 @@
 #include "run_options.hpp"
 
-#include <cstdlib>
-#include <functional>
-#include <map>
+#include "option_parser.hpp"
 
-#include <getopt.h>
+#include <cstdlib>
 
 namespace jujubedrum
 {
@@ -12,7 +10,7 @@
 namespace
 {
 
-using setter = std::function<bool(run_options&, const std::string&)>;
+using setter = option_parser<run_options>::setter;
 
 std::optional<double> positive(const std::string& text)
 {
@@ -92,41 +90,22 @@
 
 std::optional<run_options> run_options::parse(int argc, char** argv)
 {
-    const std::map<std::string, setter> known = setters();
-    std::vector<option> long_options;
-    std::vector<const setter*> by_index;
-    for (const auto& [key, set] : known)
-    {
-        const bool flag = key == "json" || key == "own-ids";
-        long_options.push_back(
-            {key.c_str(), flag ? no_argument : required_argument, nullptr, 1});
-        by_index.push_back(&set);
-    }
-    long_options.push_back({nullptr, 0, nullptr, 0});
     run_options options;
-    int index = 0;
-    int found = 0;
-    while ((found = getopt_long(argc, argv, "", long_options.data(), &index)) !=
-           -1)
+    const option_parser<run_options> parser(setters(), {"json", "own-ids"});
+    if (!parser.parse(argc, argv, options))
     {
-        const std::string text = optarg == nullptr ? "" : optarg;
-        if (found != 1 ||
-            !(*by_index[static_cast<std::size_t>(index)])(options, text))
-        {
-            return std::nullopt;
-        }
+        return std::nullopt;
     }
     options.model.instances = options.entries.size();
     if (options.team.empty())
     {
         options.team = options.model.profile;
     }
-    const bool usable = optind == argc && !options.entries.empty() &&
-                        options.senders >= options.entries.size() &&
-                        options.model.load > 0.0 && options.model.tasks > 0 &&
-                        options.model.servers > 0 &&
-                        options.model.domains > 0 &&
-                        options.fastest_speed > 0.0 && options.work_scale > 0.0;
+    const bool usable =
+        !options.entries.empty() && options.senders >= options.entries.size() &&
+        options.model.load > 0.0 && options.model.tasks > 0 &&
+        options.model.servers > 0 && options.model.domains > 0 &&
+        options.fastest_speed > 0.0 && options.work_scale > 0.0;
     return usable ? std::optional(options) : std::nullopt;
 }
 
--- a/src/jujubedrumd/main.cpp
+++ b/src/jujubedrumd/main.cpp
@@ -1,28 +1,20 @@
 #include "daemon.hpp"
+#include "daemon_options.hpp"
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <string>
 
-#include <getopt.h>
-
 namespace
 {
 
-constexpr int usage_error = 1;
-constexpr int settings_error = 2;
-
-void print_usage(std::ostream& out)
-{
-    out << "usage: jujubedrumd --settings FILE [--check]\n"
-           "  -s, --settings FILE  JSON settings of this entry instance\n"
-           "  -c, --check          check the settings and exit\n"
-           "  -h, --help           print this text\n"
-           "exit status: 0 stopped gracefully or settings valid, 1 usage or\n"
-           "cannot start, 2 invalid settings\n";
-}
+constexpr const char* usage =
+    "usage: jujubedrumd --settings FILE [--check]\n"
+    "  -s, --settings FILE  JSON settings of this entry instance\n"
+    "  -c, --check          check the settings and exit\n"
+    "  -h, --help           print this text\n"
+    "exit status: 0 stopped gracefully or settings valid, 1 usage or\n"
+    "cannot start, 2 invalid settings\n";
 
 /// Blocks the signals that end the process before any thread starts, so that
 /// only the waiting main thread receives them.
@@ -36,23 +28,23 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-int run(const std::string& path, bool check_only)
+int run(const jujubedrum::daemon_options& options)
 {
-    std::ifstream file(path);
-    if (!file)
+    const std::string& path = options.settings_path();
+    const auto text = jujubedrum::read_file(path);
+    if (!text)
     {
         std::cerr << "jujubedrumd: cannot read " << path << "\n";
-        return settings_error;
+        return jujubedrum::exit_settings;
     }
-    const std::string text(std::istreambuf_iterator<char>(file), {});
     jujubedrum::config_reason why;
-    auto values = jujubedrum::settings::load(text, why);
+    auto values = jujubedrum::settings::load(*text, why);
     if (!values)
     {
         std::cerr << "jujubedrumd: " << path << ": " << why.message() << "\n";
-        return settings_error;
+        return jujubedrum::exit_settings;
     }
-    if (check_only)
+    if (options.check_only())
     {
         std::cout << "settings are valid\n";
         return 0;
@@ -67,35 +59,8 @@
 
 int main(int argc, char** argv)
 {
-    const option options[] = {{"settings", required_argument, nullptr, 's'},
-                              {"check", no_argument, nullptr, 'c'},
-                              {"help", no_argument, nullptr, 'h'},
-                              {nullptr, 0, nullptr, 0}};
-    std::string path;
-    bool check_only = false;
-    for (int c = 0;
-         (c = getopt_long(argc, argv, "s:ch", options, nullptr)) != -1;)
-    {
-        switch (c)
-        {
-        case 's':
-            path = optarg;
-            break;
-        case 'c':
-            check_only = true;
-            break;
-        case 'h':
-            print_usage(std::cout);
-            return 0;
-        default:
-            print_usage(std::cerr);
-            return usage_error;
-        }
-    }
-    if (path.empty() || optind != argc)
-    {
-        print_usage(std::cerr);
-        return usage_error;
-    }
-    return run(path, check_only);
+    int status = 0;
+    const auto options =
+        jujubedrum::daemon_options::parse(argc, argv, usage, "", status);
+    return options ? run(*options) : status;
 }
--- a/src/libruntime/node/http_server.cpp
+++ b/src/libruntime/node/http_server.cpp
@@ -351,26 +351,7 @@
 
 bool http_server::listen(const std::string& address, std::uint16_t port)
 {
-    boost::system::error_code error;
-    const tcp::endpoint endpoint(asio::ip::make_address(address, error), port);
-    if (!error)
-    {
-        this->acceptor.open(endpoint.protocol(), error);
-    }
-    if (!error)
-    {
-        this->acceptor.set_option(asio::socket_base::reuse_address(true),
-                                  error);
-    }
-    if (!error)
-    {
-        this->acceptor.bind(endpoint, error);
-    }
-    if (!error)
-    {
-        this->acceptor.listen(listen_backlog, error);
-    }
-    if (error)
+    if (!open_acceptor(this->acceptor, address, port, listen_backlog))
     {
         return false;
     }
--- a/src/libruntime/node/peer_mesh.cpp
+++ b/src/libruntime/node/peer_mesh.cpp
@@ -229,26 +229,8 @@
 
 bool peer_mesh::listen(const std::string& address, std::uint16_t port)
 {
-    boost::system::error_code error;
-    const tcp::endpoint endpoint(asio::ip::make_address(address, error), port);
-    if (!error)
-    {
-        this->acceptor.open(endpoint.protocol(), error);
-    }
-    if (!error)
-    {
-        this->acceptor.set_option(asio::socket_base::reuse_address(true),
-                                  error);
-    }
-    if (!error)
-    {
-        this->acceptor.bind(endpoint, error);
-    }
-    if (!error)
-    {
-        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error)
+    if (!open_acceptor(this->acceptor, address, port,
+                       asio::socket_base::max_listen_connections))
     {
         return false;
     }
--- a/src/libruntime/node/socket_options.cpp
+++ b/src/libruntime/node/socket_options.cpp
@@ -1,5 +1,7 @@
 #include "node/socket_options.hpp"
 
+#include "logging.hpp"
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -36,4 +38,36 @@
     set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
 }
 
+bool open_acceptor(boost::asio::ip::tcp::acceptor& acceptor,
+                   const std::string& address, std::uint16_t port, int backlog)
+{
+    boost::system::error_code error;
+    const boost::asio::ip::tcp::endpoint endpoint(
+        boost::asio::ip::make_address(address, error), port);
+    if (!error)
+    {
+        acceptor.open(endpoint.protocol(), error);
+    }
+    if (!error)
+    {
+        acceptor.set_option(boost::asio::socket_base::reuse_address(true),
+                            error);
+    }
+    if (!error)
+    {
+        acceptor.bind(endpoint, error);
+    }
+    if (!error)
+    {
+        acceptor.listen(backlog, error);
+    }
+    if (error)
+    {
+        LOG(ERROR) << "socket: cannot listen; address=" << address
+                   << " port=" << port << " reason=\"" << error.message()
+                   << "\"";
+    }
+    return !error;
+}
+
 } // namespace jujubedrum
--- a/tests/soak/soak_cluster.cpp
+++ b/tests/soak/soak_cluster.cpp
@@ -1,8 +1,9 @@
 #include "soak_cluster.hpp"
 
+#include "users/free_port.hpp"
+
 #include <csignal>
 #include <fstream>
-#include <set>
 #include <stdexcept>
 
 #include <nlohmann/json.hpp>
@@ -19,24 +20,6 @@
 constexpr milliseconds restart_delay{300};
 constexpr std::uint32_t server_cpu = 16000;
 
-/// Returns a port that is free on the address and was not returned before: the
-/// system may offer a port again before its process has bound it.
-std::uint16_t free_port(event_loop& loop, const std::string& address)
-{
-    using boost::asio::ip::tcp;
-    static std::set<std::uint16_t> given;
-    for (;;)
-    {
-        tcp::acceptor probe(loop.context(),
-                            {boost::asio::ip::make_address(address), 0});
-        const std::uint16_t port = probe.local_endpoint().port();
-        if (given.insert(port).second)
-        {
-            return port;
-        }
-    }
-}
-
 std::string local(std::uint16_t port)
 {
     return "127.0.0.1:" + std::to_string(port);
--- a/tests/unit/dispatch/node_fixture.cpp
+++ b/tests/unit/dispatch/node_fixture.cpp
@@ -1,8 +1,7 @@
 #include "node_fixture.hpp"
 
-#include <set>
+#include "users/free_port.hpp"
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
@@ -17,24 +16,6 @@
 /// Servers write their entries this often.
 constexpr milliseconds beat_interval{1000};
 
-/// Returns a free port that was not returned before: the system may offer one
-/// again before the instance has bound it.
-std::uint16_t free_port(event_loop& loop)
-{
-    using boost::asio::ip::tcp;
-    static std::set<std::uint16_t> given;
-    for (;;)
-    {
-        tcp::acceptor probe(loop.context(),
-                            {boost::asio::ip::make_address("127.0.0.1"), 0});
-        const std::uint16_t port = probe.local_endpoint().port();
-        if (given.insert(port).second)
-        {
-            return port;
-        }
-    }
-}
-
 node_settings make_settings(const std::string& name, const std::string& domain,
                             std::uint16_t peers, std::uint16_t store)
 {
@@ -84,7 +65,7 @@
 {
     if (this->peer_ports.count(name) == 0)
     {
-        this->peer_ports[name] = free_port(this->loop);
+        this->peer_ports[name] = free_port(this->loop, "127.0.0.1");
     }
     this->nodes.erase(name);
     this->nodes[name] = std::make_unique<node_under_test>(
