--- a/src/libruntime/node/server_session.cpp
+++ b/src/libruntime/node/server_session.cpp
@@ -10,7 +10,9 @@
 namespace
 {
 
-/// Pause before a stop that was not confirmed is repeated.
+/// Pause before a stop that was not confirmed is repeated: at once the first
+/// time, since tasks wait for it, later as for a server that is gone.
+constexpr milliseconds first_stop_pause{5};
 constexpr milliseconds stop_pause{50};
 /// Servers' clocks may be slow by 2 %, and orders take time to arrive.
 constexpr milliseconds lease_slack{60};
@@ -296,30 +298,36 @@
 }
 
 void server_session::stop(const run_id& run)
+{
+    this->stop(run, first_stop_pause);
+}
+
+void server_session::stop(const run_id& run, milliseconds pause)
 {
     if (this->ended)
     {
         return;
     }
-    this->channel->stop(run, this->token_value,
-                        [self = this->shared_from_this(), run](bool confirmed)
-                        {
-                            if (self->ended)
-                            {
-                                return;
-                            }
-                            if (confirmed)
-                            {
-                                self->dispatcher.on_stopped(self->id_value, run,
-                                                            event_loop::now());
-                                return;
-                            }
-                            if (self->dispatcher.knows(self->id_value, run))
-                            {
-                                self->loop.after(stop_pause, [self, run]
-                                                 { self->stop(run); });
-                            }
-                        });
+    this->channel->stop(
+        run, this->token_value,
+        [self = this->shared_from_this(), run, pause](bool confirmed)
+        {
+            if (self->ended)
+            {
+                return;
+            }
+            if (confirmed)
+            {
+                self->dispatcher.on_stopped(self->id_value, run,
+                                            event_loop::now());
+                return;
+            }
+            if (self->dispatcher.knows(self->id_value, run))
+            {
+                self->loop.after(pause,
+                                 [self, run] { self->stop(run, stop_pause); });
+            }
+        });
 }
 
 void server_session::end()
--- a/src/libruntime/node/server_session.hpp
+++ b/src/libruntime/node/server_session.hpp
@@ -55,6 +55,8 @@
                    pool_dispatcher& dispatcher,
                    std::function<void()> on_fenced);
     void look(milliseconds wait);
+    /// \param pause before it is repeated if the server does not confirm it.
+    void stop(const run_id& run, milliseconds pause);
     void on_listing(const server_listing& listing, instant asked_at, bool main);
     /// Forgets the counts and the clock of an earlier life.
     void on_reborn();
--- a/standins/users/task_server_standin.cpp
+++ b/standins/users/task_server_standin.cpp
@@ -158,6 +158,11 @@
     std::string reply;
     if (request.target == "/v1/run-stop")
     {
+        if (this->stops_to_lose > 0)
+        {
+            --this->stops_to_lose;
+            return;
+        }
         const int status = this->stop(request.body, reply);
         responder->answer({status, reply});
         return;
--- a/standins/users/task_server_standin.hpp
+++ b/standins/users/task_server_standin.hpp
@@ -56,6 +56,8 @@
 
     /// Drops the next starts without an answer, after carrying them out.
     void lose_answers(int count) { this->answers_to_lose = count; }
+    /// Drops the next stops: neither carried out nor answered.
+    void lose_stops(int count) { this->stops_to_lose = count; }
     /// Carries the next starts out late, without an answer.
     void delay_starts(int count, milliseconds by);
     void set_draining(bool value) { this->draining = value; }
@@ -120,6 +122,7 @@
     std::vector<end_state> ends;
     std::vector<waiting_look> looks;
     int answers_to_lose = 0;
+    int stops_to_lose = 0;
     int starts_to_delay = 0;
     milliseconds start_delay{0};
     bool draining = false;
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -135,6 +135,23 @@
     BOOST_TEST(this->record.violations().empty());
 }
 
+// The stop of an unanswered start is lost as well: it is repeated, and the task
+// waits for neither of them for good.
+BOOST_AUTO_TEST_CASE(start_and_its_stop_lost_task_runs_once)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->servers["s1"]->delay_starts(1, milliseconds(2000));
+    this->servers["s1"]->lose_stops(2);
+    this->submit("a", "0000000000000001", 1, 100);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 1);
+    BOOST_TEST(this->record.violations().empty());
+}
+
 BOOST_AUTO_TEST_CASE(server_crashed_task_runs_elsewhere)
 {
     this->add_server("s1");
