Look linked names up instead of searching all links

Cause: whether an announced instance is linked was found by comparing its name with every link's, for every member, three times in 100 ms.

Change: the names of links are kept in a set, and an instance asks whether it may take pools only until it may. A peer that changes its name is dropped.

--- a/src/libruntime/node/peer_mesh.cpp
+++ b/src/libruntime/node/peer_mesh.cpp
@@ -361,9 +361,7 @@
 
 bool peer_mesh::linked(const std::string& name) const
 {
-    return std::any_of(this->peers.begin(), this->peers.end(),
-                       [&name](const auto& entry)
-                       { return entry.second.hello.instance.name == name; });
+    return this->linked_names.count(name) > 0;
 }
 
 void peer_mesh::dial(known_member& member)
@@ -459,6 +457,15 @@
         return;
     }
     this->doubted.erase(hello->instance.name);
+    if (at == this->peers.end())
+    {
+        this->linked_names.insert(hello->instance.name);
+    }
+    else if (at->second.hello.instance.name != hello->instance.name)
+    {
+        this->links.at(number)->close("peer changed its name");
+        return;
+    }
     peer_state& peer = this->peers[number];
     peer.hello = *hello;
     peer.hello.interval = hello_pace::bounded(hello->interval);
@@ -482,6 +489,7 @@
     }
     const instance_view instance = at->second.hello.instance;
     this->peers.erase(at);
+    this->linked_names.erase(this->linked_names.find(instance.name));
     if (reason != silent_reason)
     {
         this->doubt(instance);
@@ -601,6 +609,7 @@
     }
     this->links.clear();
     this->peers.clear();
+    this->linked_names.clear();
 }
 
 } // namespace jujubedrum
--- a/src/libruntime/node/peer_mesh.hpp
+++ b/src/libruntime/node/peer_mesh.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -132,6 +133,7 @@
     boost::asio::ip::tcp::acceptor acceptor;
     std::map<std::uint64_t, std::shared_ptr<link>> links;
     std::map<std::uint64_t, peer_state> peers; ///< links that said hello
+    std::multiset<std::string> linked_names;   ///< of these; may be twice
     std::map<std::string, known_member> members;
     std::map<std::string, doubted_peer> doubted; ///< by name
     hello_message own_hello;
--- a/src/libruntime/node/pool_keeper.cpp
+++ b/src/libruntime/node/pool_keeper.cpp
@@ -272,13 +272,17 @@
     return counts;
 }
 
-bool pool_keeper::settled() const
+bool pool_keeper::settled()
 {
-    const auto age = std::chrono::duration_cast<milliseconds>(
-        event_loop::now() - this->started);
-    return pool_election::may_begin({age, this->members_read,
-                                     this->mesh.has_run_before(),
-                                     this->mesh.unreached()});
+    if (!this->begun)
+    {
+        const auto age = std::chrono::duration_cast<milliseconds>(
+            event_loop::now() - this->started);
+        this->begun = pool_election::may_begin({age, this->members_read,
+                                                this->mesh.has_run_before(),
+                                                this->mesh.unreached()});
+    }
+    return this->begun;
 }
 
 void pool_keeper::choose_server_watch()
--- a/src/libruntime/node/pool_keeper.hpp
+++ b/src/libruntime/node/pool_keeper.hpp
@@ -110,7 +110,7 @@
     };
 
     /// Returns whether enough is known of the others to take pools.
-    [[nodiscard]] bool settled() const;
+    [[nodiscard]] bool settled();
     /// Follows the list of servers only where it may be needed.
     void choose_server_watch();
     /// Returns the servers whose pools may be taken, by failure domain.
@@ -151,6 +151,7 @@
     bool store_reachable = false;
     instant store_since{0}; ///< when it last began to answer
     bool members_read = false;
+    bool begun = false; ///< enough was known of the others once
     instant started;
 };
 
