Split placing and room out of the dispatcher

pool_dispatcher keeps queues, runs and ends; server_chooser chooses the server of a task, room_meter measures free room and learns usual sizes, dispatch_load is what peers get. A submission no longer sums the load twice, and a pump no longer sums it to see whether there is room.

--- /dev/null
+++ b/src/libjujubedrum/dispatch/held_server.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "dispatch/pooled_job.hpp"
+#include "dispatch/server_record.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// A backend server of the dispatcher and what it may run.
+struct held_server
+{
+    server_record record;
+    std::vector<task_ref> runs; ///< of the dispatcher's jobs
+};
+
+using held_servers = std::map<std::string, held_server>; ///< by id
+
+} // namespace jujubedrum
--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -16,10 +16,6 @@
 constexpr milliseconds unhealthy_pause{250};
 /// Rest of a started or stopped order on its way, beyond its validity.
 constexpr milliseconds order_slack{100};
-/// Weight of one run in the mean run time.
-constexpr double mean_run_rate = 0.02;
-/// Weight of one job in the mean size of tasks.
-constexpr double mean_size_rate = 0.02;
 /// How often runs are compared with their expected time.
 constexpr milliseconds overdue_interval{40};
 /// A run is overdue after this multiple of its expected time, and at least
@@ -35,33 +31,15 @@
 /// Shortest and longest time after which a refused caller is asked back.
 constexpr milliseconds least_retry_after{100};
 constexpr milliseconds most_retry_after{3000};
-/// Servers whose expected times differ by less are taken by best fit.
-constexpr double equal_time_share = 0.05;
 
 } // namespace
 
-milliseconds dispatch_load::wait_for(std::uint64_t cpu) const
-{
-    const std::uint64_t wanted = this->waiting_cpu + cpu;
-    if (wanted <= this->free_cpu)
-    {
-        return milliseconds(0);
-    }
-    if (this->total_cpu == 0)
-    {
-        return milliseconds::max();
-    }
-    // Room frees at the rate of the total over the mean run time.
-    const double lacking = static_cast<double>(wanted - this->free_cpu);
-    return milliseconds(static_cast<long>(
-        lacking * this->mean_run_ms / static_cast<double>(this->total_cpu)));
-}
-
 pool_dispatcher::pool_dispatcher(const dispatch_options& settings,
                                  task_launcher& orders, job_listener& results)
     : options(settings)
     , launcher(orders)
     , listener(results)
+    , chooser(settings.far_factor)
 {
 }
 
@@ -109,8 +87,7 @@
     }
 }
 
-pool_dispatcher::held_server*
-pool_dispatcher::find_server(const std::string& id)
+held_server* pool_dispatcher::find_server(const std::string& id)
 {
     const auto at = this->servers.find(id);
     return at == this->servers.end() ? nullptr : &at->second;
@@ -132,7 +109,7 @@
 void pool_dispatcher::submit(job_request request, const job_terms& terms,
                              const job_origin& origin, instant now)
 {
-    this->learn_size(request);
+    this->meter.learn_job(request);
     const auto at = this->jobs.find(request.id);
     pooled_job* job = nullptr;
     if (at != this->jobs.end())
@@ -156,7 +133,7 @@
         this->jobs.emplace(job->request.id, std::move(created));
     }
     this->deadlines.emplace(job->give_up_at, job->request.id);
-    const dispatch_load present = this->load(now);
+    const dispatch_load present = this->meter.measure(this->servers, now);
     job->free_cpu = present.free_cpu;
     job->servers = present.servers;
     if (!this->serviceable(*job, now))
@@ -166,7 +143,7 @@
         return;
     }
     this->enqueue(*job);
-    const milliseconds wait = this->wait_of(*job, now);
+    const milliseconds wait = this->wait_of(*job, present);
     job->expected_wait = wait;
     // A job that is late already still gets room that nobody else wants.
     if (wait.count() > 0 && now + wait > job->start_by)
@@ -202,10 +179,10 @@
         });
 }
 
-milliseconds pool_dispatcher::wait_of(const pooled_job& job, instant now) const
+milliseconds pool_dispatcher::wait_of(const pooled_job& job,
+                                      const dispatch_load& present) const
 {
-    dispatch_load ahead = this->load(now);
-    ahead.waiting_cpu = 0;
+    dispatch_load ahead = present;
     for (const auto& [key, other] : this->queue)
     {
         if (key.first > job.start_by)
@@ -244,8 +221,8 @@
             {
                 continue;
             }
-            held_server* server =
-                this->choose(job, task, job.request.steps[step], now);
+            held_server* server = this->chooser.choose(
+                this->servers, job, task, job.request.steps[step], now);
             if (server == nullptr)
             {
                 break;
@@ -259,77 +236,6 @@
     }
 }
 
-double pool_dispatcher::expected_ms(const server_record& server,
-                                    const job_step& step) const
-{
-    const bool far =
-        !step.data_rack.empty() && !server.info().has_label(step.data_rack);
-    return static_cast<double>(step.estimate.count()) * server.slowdown() *
-           (far ? this->options.far_factor : 1.0);
-}
-
-pool_dispatcher::held_server* pool_dispatcher::choose(const pooled_job& job,
-                                                      const pooled_task& task,
-                                                      const job_step& step,
-                                                      instant now)
-{
-    held_server* best = nullptr;
-    double best_ms = std::numeric_limits<double>::max();
-    double fastest_ms = std::numeric_limits<double>::max();
-    for (auto& [id, server] : this->servers)
-    {
-        const server_record& record = server.record;
-        if (!record.usable(now) || record.info().service != job.terms.service ||
-            (!step.label.empty() && !record.info().has_label(step.label)))
-        {
-            continue;
-        }
-        double ms = this->expected_ms(record, step);
-        if (task.failures + task.moves > 0 && task.server == id)
-        {
-            ms *= overdue_factor;
-        }
-        fastest_ms = std::min(fastest_ms, ms);
-        if (!record.fits(step.room))
-        {
-            continue;
-        }
-        if (step.most_per_server > 0)
-        {
-            const auto here = std::count_if(
-                server.runs.begin(), server.runs.end(),
-                [&job, &step](const task_ref& other)
-                { return other.job == &job && &other.spec() == &step; });
-            if (here >= static_cast<long>(step.most_per_server))
-            {
-                continue;
-            }
-        }
-        const bool better = ms < best_ms * (1 - equal_time_share);
-        const bool equal = ms < best_ms * (1 + equal_time_share);
-        if (better || (equal && best != nullptr &&
-                       record.free_cpu() < best->record.free_cpu()))
-        {
-            best = &server;
-            best_ms = ms;
-        }
-    }
-    if (best == nullptr)
-    {
-        return nullptr;
-    }
-    // A slow server that would miss the objective is passed over while a
-    // faster one that is busy now could still meet it.
-    const double left =
-        std::chrono::duration<double, std::milli>(job.objective_at - now)
-            .count();
-    if (best_ms > left && fastest_ms < left)
-    {
-        return nullptr;
-    }
-    return best;
-}
-
 void pool_dispatcher::start(pooled_job& job, const task_ref& ref,
                             held_server& server, instant now)
 {
@@ -339,7 +245,7 @@
     ++task.run;
     task.server = id;
     task.started = now;
-    task.expected_ms = this->expected_ms(server.record, ref.spec());
+    task.expected_ms = this->chooser.expected_ms(server.record, ref.spec());
     task.percent = 0;
     task.percent_at = instant(0);
     task.settled_at.reset();
@@ -561,7 +467,7 @@
     pooled_job& job = *ref.job;
     const double ran_ms =
         std::chrono::duration<double, std::milli>(now - task.started).count();
-    this->mean_run_ms += mean_run_rate * (ran_ms - this->mean_run_ms);
+    this->meter.learn_run(ran_ms);
     const double far_estimate =
         task.expected_ms; // includes the slowdown assumed at the start
     if (held_server* server = this->find_server(task.server))
@@ -691,7 +597,8 @@
         microseconds(static_cast<long>(
             refusal_share *
             static_cast<double>(microseconds(job.objective()).count())));
-    const milliseconds wait = this->wait_of(job, now);
+    const milliseconds wait =
+        this->wait_of(job, this->meter.measure(this->servers, now));
     job.expected_wait = wait;
     if (now >= decided_by && wait.count() > 0 && now + wait > job.start_by)
     {
@@ -767,8 +674,7 @@
     {
         (key.first >= now || job->starts > 0 ? on_time : late).push_back(job);
     }
-    const std::uint64_t free = this->load(now).free_cpu;
-    if (free > 0)
+    if (this->meter.has_room(this->servers, now))
     {
         for (const auto& jobs_in_order : {on_time, late})
         {
@@ -813,48 +719,13 @@
     return at != this->servers.end() && !at->second.runs.empty();
 }
 
-std::uint64_t pool_dispatcher::usable_cpu(std::uint32_t cpu) const
-{
-    if (this->mean_task_cpu < 1)
-    {
-        return cpu;
-    }
-    // Room that is left over beside tasks of the usual size serves nobody.
-    const auto fitting = static_cast<std::uint64_t>(cpu / this->mean_task_cpu);
-    return fitting * static_cast<std::uint64_t>(this->mean_task_cpu);
-}
-
-void pool_dispatcher::learn_size(const job_request& request)
-{
-    for (const job_step& step : request.steps)
-    {
-        const double cpu = step.room.cpu;
-        this->mean_task_cpu =
-            this->mean_task_cpu < 1
-                ? cpu
-                : this->mean_task_cpu +
-                      mean_size_rate * (cpu - this->mean_task_cpu);
-    }
-}
-
 dispatch_load pool_dispatcher::load(instant now) const
 {
-    dispatch_load result;
-    for (const auto& [id, server] : this->servers)
-    {
-        if (server.record.usable(now))
-        {
-            ++result.servers;
-            const task_room& all = server.record.info().capacity;
-            result.total_cpu += this->usable_cpu(all.cpu);
-            result.free_cpu += this->usable_cpu(server.record.free_cpu());
-        }
-    }
+    dispatch_load result = this->meter.measure(this->servers, now);
     for (const auto& [key, job] : this->queue)
     {
         result.waiting_cpu += job->waiting_cpu();
     }
-    result.mean_run_ms = this->mean_run_ms;
     return result;
 }
 
--- a/src/libjujubedrum/dispatch/pool_dispatcher.hpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.hpp
@@ -1,10 +1,13 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "dispatch/dispatch_load.hpp"
+#include "dispatch/held_server.hpp"
 #include "dispatch/job_request.hpp"
 #include "dispatch/pooled_job.hpp"
+#include "dispatch/room_meter.hpp"
+#include "dispatch/server_chooser.hpp"
 #include "dispatch/server_orders.hpp"
-#include "dispatch/server_record.hpp"
 
 #include <cstdint>
 #include <map>
@@ -48,22 +51,6 @@
     milliseconds start_validity{300};
 };
 
-/// Room and queue of the dispatcher, as peers need it to choose a holder.
-struct dispatch_load
-{
-    std::uint64_t total_cpu = 0;   ///< thousandths of a core, usable servers
-    std::uint64_t free_cpu = 0;    ///< of these, in pieces that fit a task
-    std::uint64_t waiting_cpu = 0; ///< wanted by tasks that wait
-    double mean_run_ms = 100;      ///< mean run time of recent tasks
-
-    std::uint64_t servers = 0; ///< usable ones; known to the holder only
-
-    /// Returns the expected wait of a job that wants this much.
-    [[nodiscard]] milliseconds wait_for(std::uint64_t cpu) const;
-
-    bool operator==(const dispatch_load&) const = default;
-};
-
 /// Queues, places, retries and ends the jobs of the servers that this instance
 /// holds. Answers to load: tasks wait in order of their latest useful start,
 /// and a job that cannot end in time is refused before any of it has run.
@@ -115,12 +102,6 @@
     [[nodiscard]] std::size_t open_jobs() const { return this->jobs.size(); }
 
 private:
-    struct held_server
-    {
-        server_record record;
-        std::vector<task_ref> runs; ///< of ours that may be there
-    };
-
     using queue_key = std::pair<instant, std::uint64_t>;
 
     held_server* find_server(const std::string& id);
@@ -128,10 +109,6 @@
     void enqueue(pooled_job& job);
     void dequeue(pooled_job& job);
     void place_waiting(pooled_job& job, instant now);
-    held_server* choose(const pooled_job& job, const pooled_task& task,
-                        const job_step& step, instant now);
-    [[nodiscard]] double expected_ms(const server_record& server,
-                                     const job_step& step) const;
     void start(pooled_job& job, const task_ref& ref, held_server& server,
                instant now);
     void stop_run(const task_ref& ref, instant now);
@@ -148,26 +125,24 @@
                 milliseconds retry_after, instant now);
     void erase_if_gone(pooled_job& job);
     [[nodiscard]] bool serviceable(const pooled_job& job, instant now) const;
+    /// Returns the wait of a job behind those that have to start earlier.
+    /// \param present room as it is, without anything that waits.
     [[nodiscard]] milliseconds wait_of(const pooled_job& job,
-                                       instant now) const;
-    /// Returns the part of a server's room that tasks of the usual size can
-    /// use.
-    [[nodiscard]] std::uint64_t usable_cpu(std::uint32_t cpu) const;
-    void learn_size(const job_request& request);
+                                       const dispatch_load& present) const;
     void refuse_hopeless(pooled_job& job, instant now);
     void check_deadlines(instant now);
 
     dispatch_options options;
     task_launcher& launcher;
     job_listener& listener;
-    std::map<std::string, held_server> servers;
+    server_chooser chooser;
+    held_servers servers;
     std::unordered_map<std::string, std::unique_ptr<pooled_job>> jobs;
     /// Jobs with waiting tasks by latest useful start.
     std::map<queue_key, pooled_job*> queue;
     std::set<std::pair<instant, std::string>> deadlines;
     std::uint64_t next_sequence = 1;
-    double mean_run_ms = 100;
-    double mean_task_cpu = 0; ///< of recent tasks; 0: none yet
+    room_meter meter;
     instant next_overdue_check{0};
 };
 
--- /dev/null
+++ b/src/libjujubedrum/dispatch/room_meter.cpp
@@ -0,0 +1,75 @@
+#include "dispatch/room_meter.hpp"
+
+#include <algorithm>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+/// Weight of one run in the mean run time.
+constexpr double mean_run_rate = 0.02;
+/// Weight of one job in the mean size of tasks.
+constexpr double mean_size_rate = 0.02;
+
+} // namespace
+
+std::uint64_t room_meter::usable_cpu(std::uint32_t cpu) const
+{
+    if (this->mean_cpu < 1)
+    {
+        return cpu;
+    }
+    // Room that is left over beside tasks of the usual size serves nobody.
+    const auto fitting = static_cast<std::uint64_t>(cpu / this->mean_cpu);
+    return fitting * static_cast<std::uint64_t>(this->mean_cpu);
+}
+
+void room_meter::learn_job(const job_request& request)
+{
+    for (const job_step& step : request.steps)
+    {
+        const double cpu = step.room.cpu;
+        this->mean_cpu =
+            this->mean_cpu < 1
+                ? cpu
+                : this->mean_cpu + mean_size_rate * (cpu - this->mean_cpu);
+    }
+}
+
+void room_meter::learn_run(double ran_ms)
+{
+    this->mean_ms += mean_run_rate * (ran_ms - this->mean_ms);
+}
+
+bool room_meter::has_room(const held_servers& servers, instant now) const
+{
+    return std::any_of(servers.begin(), servers.end(),
+                       [this, now](const auto& entry)
+                       {
+                           const server_record& server = entry.second.record;
+                           return server.usable(now) &&
+                                  this->usable_cpu(server.free_cpu()) > 0;
+                       });
+}
+
+dispatch_load room_meter::measure(const held_servers& servers,
+                                  instant now) const
+{
+    dispatch_load result;
+    for (const auto& [id, server] : servers)
+    {
+        if (server.record.usable(now))
+        {
+            ++result.servers;
+            const task_room& all = server.record.info().capacity;
+            result.total_cpu += this->usable_cpu(all.cpu);
+            result.free_cpu += this->usable_cpu(server.record.free_cpu());
+        }
+    }
+    result.mean_run_ms = this->mean_ms;
+    return result;
+}
+
+} // namespace jujubedrum
--- /dev/null
+++ b/src/libjujubedrum/dispatch/server_chooser.cpp
@@ -0,0 +1,98 @@
+#include "dispatch/server_chooser.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+/// Servers whose expected times differ by less are taken by best fit.
+constexpr double equal_time_share = 0.05;
+/// A server from which a run of the task was taken, or on which it failed, is
+/// taken again only if others would need as much longer.
+constexpr double repeat_factor = 2.5;
+
+} // namespace
+
+server_chooser::server_chooser(double far_factor)
+    : far(far_factor)
+{
+}
+
+double server_chooser::expected_ms(const server_record& server,
+                                   const job_step& step) const
+{
+    const bool far =
+        !step.data_rack.empty() && !server.info().has_label(step.data_rack);
+    return static_cast<double>(step.estimate.count()) * server.slowdown() *
+           (far ? this->far : 1.0);
+}
+
+bool server_chooser::suits(const held_server& server, const pooled_job& job,
+                           const job_step& step, instant now)
+{
+    const server_record& record = server.record;
+    return record.usable(now) && record.info().service == job.terms.service &&
+           (step.label.empty() || record.info().has_label(step.label));
+}
+
+bool server_chooser::spread_allows(const held_server& server,
+                                   const pooled_job& job, const job_step& step)
+{
+    if (step.most_per_server == 0)
+    {
+        return true;
+    }
+    const auto here =
+        std::count_if(server.runs.begin(), server.runs.end(),
+                      [&job, &step](const task_ref& other)
+                      { return other.job == &job && &other.spec() == &step; });
+    return here < static_cast<long>(step.most_per_server);
+}
+
+held_server* server_chooser::choose(held_servers& servers,
+                                    const pooled_job& job,
+                                    const pooled_task& task,
+                                    const job_step& step, instant now) const
+{
+    held_server* best = nullptr;
+    double best_ms = std::numeric_limits<double>::max();
+    double fastest_ms = std::numeric_limits<double>::max();
+    for (auto& [id, server] : servers)
+    {
+        if (!suits(server, job, step, now))
+        {
+            continue;
+        }
+        double ms = this->expected_ms(server.record, step);
+        if (task.failures + task.moves > 0 && task.server == id)
+        {
+            ms *= repeat_factor;
+        }
+        fastest_ms = std::min(fastest_ms, ms);
+        if (!server.record.fits(step.room) || !spread_allows(server, job, step))
+        {
+            continue;
+        }
+        const bool better = ms < best_ms * (1 - equal_time_share);
+        const bool equal = ms < best_ms * (1 + equal_time_share);
+        if (better || (equal && best != nullptr &&
+                       server.record.free_cpu() < best->record.free_cpu()))
+        {
+            best = &server;
+            best_ms = ms;
+        }
+    }
+    // A slow server that would miss the objective is passed over while a
+    // faster one that is busy now could still meet it.
+    const double left =
+        std::chrono::duration<double, std::milli>(job.objective_at - now)
+            .count();
+    const bool wait_for_faster = best_ms > left && fastest_ms < left;
+    return wait_for_faster ? nullptr : best;
+}
+
+} // namespace jujubedrum
