Wait for the first candidates alone after a restart, and for holders longer

Change: announcements tell failure domain and size, and only the first four candidates of the own domain are waited for. A holder is expected for 1 s.

--- a/src/libjujubedrum/dispatch/pool_election.cpp
+++ b/src/libjujubedrum/dispatch/pool_election.cpp
@@ -16,6 +16,13 @@
 /// Longest wait for announced instances that cannot be reached.
 constexpr milliseconds longest_settle_time{500};
 
+/// Returns which of two candidates for a pool comes first: the larger machine.
+template <typename Instance>
+bool goes_before(const Instance& a, const Instance& b)
+{
+    return a.cpu != b.cpu ? a.cpu > b.cpu : a.name < b.name;
+}
+
 /// Returns the instances that may hold a pool of the domain, best first:
 /// those of the domain, or all if none of it lives.
 std::vector<const instance_view*>
@@ -40,9 +47,8 @@
                       { return !local(instance); });
     }
     std::sort(all.begin(), all.end(),
-              [](const instance_view* a, const instance_view* b) {
-                  return a->cpu != b->cpu ? a->cpu > b->cpu : a->name < b->name;
-              });
+              [](const instance_view* a, const instance_view* b)
+              { return goes_before(*a, *b); });
     return all;
 }
 
@@ -72,6 +78,35 @@
     return start.has_run_before || start.age >= settle_time;
 }
 
+std::size_t
+pool_election::unreached(const std::string& domain,
+                         const std::vector<announced_instance>& announced)
+{
+    std::vector<const announced_instance*> order;
+    std::size_t result = 0;
+    for (const announced_instance& instance : announced)
+    {
+        if (instance.domain == domain)
+        {
+            order.push_back(&instance);
+        }
+        else if (instance.domain.empty() && !instance.linked)
+        {
+            ++result;
+        }
+    }
+    std::sort(order.begin(), order.end(),
+              [](const announced_instance* a, const announced_instance* b)
+              { return goes_before(*a, *b); });
+    const std::size_t first =
+        std::min<std::size_t>(order.size(), pools_per_domain);
+    return result + static_cast<std::size_t>(std::count_if(
+                        order.begin(),
+                        order.begin() + static_cast<std::ptrdiff_t>(first),
+                        [](const announced_instance* instance)
+                        { return !instance->linked; }));
+}
+
 pool_id pool_of(const server_info& server)
 {
     return {server.domain, static_cast<std::uint32_t>(stable_hash(server.id) %
--- a/src/libjujubedrum/dispatch/pool_election.hpp
+++ b/src/libjujubedrum/dispatch/pool_election.hpp
@@ -60,13 +60,24 @@
     bool operator==(const instance_view&) const = default;
 };
 
+/// An instance as it announced itself.
+struct announced_instance
+{
+    std::string name;
+    std::string domain;    ///< empty if it did not tell
+    std::uint32_t cpu = 0; ///< thousandths of a core
+    bool linked = false;
+
+    bool operator==(const announced_instance&) const = default;
+};
+
 /// What an instance knows of the others shortly after its start.
 struct start_view
 {
     milliseconds age{0};         ///< since its start
     bool members_read = false;   ///< the announcements of others were read
     bool has_run_before = false; ///< one of them is of its own earlier life
-    std::size_t unreached = 0;   ///< announced instances without a link
+    std::size_t unreached = 0;   ///< first candidates without a link
 
     bool operator==(const start_view&) const = default;
 };
@@ -79,9 +90,15 @@
 public:
     /// Returns whether an instance that started knows enough of the others to
     /// take pools. Answers to a restart of all instances: those of before are
-    /// announced, so it takes no longer than reaching them.
+    /// announced, so it takes no longer than reaching the first candidates.
     [[nodiscard]] static bool may_begin(const start_view& start);
 
+    /// Returns how many of the first candidates for the pools of the failure
+    /// domain have no link. Others may come later, as slow machines do.
+    [[nodiscard]] static std::size_t
+    unreached(const std::string& domain,
+              const std::vector<announced_instance>& announced);
+
     /// Returns the pools that `self` should take now: those without a live
     /// holder for which it is the first candidate.
     /// \param live instances that were heard of lately, without `self`.
--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -50,7 +50,7 @@
     , dispatcher(options_of(values), this->pools, *this)
     , mesh(events,
            {values.instance(), values.announced_peers().address,
-            values.announced_peers().port, life},
+            values.announced_peers().port, life, values.domain(), values.cpu()},
            *this)
     , desk(this->settings, this->table, this->peers, this->mesh,
            this->dispatcher, registry, this->counts)
@@ -81,7 +81,8 @@
 {
     this->store.announce({this->settings.instance(),
                           this->settings.announced_peers().address,
-                          this->settings.announced_peers().port, this->boot});
+                          this->settings.announced_peers().port, this->boot,
+                          this->settings.domain(), this->settings.cpu()});
     this->loop.after(announce_interval, [this] { this->announce_self(); });
 }
 
--- a/src/libruntime/node/job_desk.cpp
+++ b/src/libruntime/node/job_desk.cpp
@@ -14,9 +14,9 @@
 constexpr milliseconds no_holder_retry{500};
 /// How long there may be no holder until requests are refused at once: a lost
 /// one is replaced after 0.4 s, and after a restart of all instances pools are
-/// taken within 0.5 s. A caller that waits as long is served sooner than one
-/// that is asked back.
-constexpr milliseconds holder_patience{600};
+/// taken and their servers listed within 0.8 s. A caller that waits as long is
+/// served sooner than one that is asked back.
+constexpr milliseconds holder_patience{1000};
 /// Holders that are asked before a job is refused.
 constexpr std::size_t most_holders_asked = 2;
 /// A job goes to another failure domain if that saves more than this.
--- a/src/libruntime/node/peer_mesh.cpp
+++ b/src/libruntime/node/peer_mesh.cpp
@@ -592,11 +592,16 @@
                                          event_loop::now() - at->second.heard);
 }
 
-std::size_t peer_mesh::unreached() const
+std::vector<announced_instance> peer_mesh::announced() const
 {
-    return static_cast<std::size_t>(std::count_if(
-        this->members.begin(), this->members.end(),
-        [this](const auto& entry) { return !this->linked(entry.first); }));
+    std::vector<announced_instance> result;
+    result.reserve(this->members.size());
+    for (const auto& [name, member] : this->members)
+    {
+        result.push_back({name, member.record.domain, member.record.cpu,
+                          this->linked(name)});
+    }
+    return result;
 }
 
 void peer_mesh::stop()
--- a/src/libruntime/node/peer_mesh.hpp
+++ b/src/libruntime/node/peer_mesh.hpp
@@ -24,6 +24,8 @@
     std::string address; ///< numeric IP address
     std::uint16_t port = 0;
     std::uint64_t boot = 0;
+    std::string domain;    ///< empty in announcements of earlier versions
+    std::uint32_t cpu = 0; ///< thousandths of a core
 
     bool operator==(const member_record&) const = default;
 };
@@ -81,8 +83,8 @@
     [[nodiscard]] milliseconds age(std::uint64_t link) const;
     /// Returns the number of announced instances.
     [[nodiscard]] std::size_t known() const { return this->members.size(); }
-    /// Returns the announced instances without a link.
-    [[nodiscard]] std::size_t unreached() const;
+    /// Returns the announced instances.
+    [[nodiscard]] std::vector<announced_instance> announced() const;
     /// Returns whether an announcement of an earlier life was read.
     [[nodiscard]] bool has_run_before() const { return this->ran_before; }
     void stop();
--- a/src/libruntime/node/pool_keeper.cpp
+++ b/src/libruntime/node/pool_keeper.cpp
@@ -278,9 +278,10 @@
     {
         const auto age = std::chrono::duration_cast<milliseconds>(
             event_loop::now() - this->started);
-        this->begun = pool_election::may_begin({age, this->members_read,
-                                                this->mesh.has_run_before(),
-                                                this->mesh.unreached()});
+        this->begun = pool_election::may_begin(
+            {age, this->members_read, this->mesh.has_run_before(),
+             pool_election::unreached(this->settings.domain(),
+                                      this->mesh.announced())});
     }
     return this->begun;
 }
--- a/tests/unit/dispatch/pool_election_test.cpp
+++ b/tests/unit/dispatch/pool_election_test.cpp
@@ -40,6 +40,29 @@
     BOOST_TEST(!pool_election::may_begin({milliseconds(20), false, true, 0}));
 }
 
+// Incident inc-678c: two machines with 0.09 of a core came up last, and all
+// others waited for them although they never hold pools.
+BOOST_AUTO_TEST_CASE(restart_slow_machines_not_waited_for)
+{
+    std::vector<announced_instance> all{{"other", "d2", 900, false},
+                                        {"slow-1", "d1", 90, false},
+                                        {"slow-2", "d1", 90, false}};
+    for (const char* name : {"a", "b", "c", "d"})
+    {
+        all.push_back({name, "d1", 500, true});
+    }
+    BOOST_TEST(pool_election::unreached("d1", all) == 0U);
+    all.back().linked = false;
+    BOOST_TEST(pool_election::unreached("d1", all) == 1U);
+}
+
+// An announcement of an earlier version may be of any domain and size.
+BOOST_AUTO_TEST_CASE(restart_announcement_without_domain_is_waited_for)
+{
+    BOOST_TEST(pool_election::unreached("d1", {{"a", "", 0, false}}) == 1U);
+    BOOST_TEST(pool_election::unreached("d1", {{"a", "", 0, true}}) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(announced_instance_gone_begins_after_longest_wait)
 {
     BOOST_TEST(!pool_election::may_begin({milliseconds(400), true, true, 1}));
