--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -52,8 +52,8 @@
            {values.instance(), values.announced_peers().address,
             values.announced_peers().port, life, values.domain(), values.cpu()},
            *this)
-    , desk(this->settings, this->table, this->peers, this->mesh,
-           this->dispatcher, registry, this->counts)
+    , router(this->settings, this->table, this->peers, this->mesh,
+             this->dispatcher, registry, this->counts)
 {
 }
 
@@ -108,14 +108,14 @@
 }
 
 std::uint64_t dispatch_node::submit(job_request request, const job_terms& terms,
-                                    job_desk::job_callback done)
+                                    job_router::job_callback done)
 {
-    return this->desk.submit(std::move(request), terms, std::move(done));
+    return this->router.submit(std::move(request), terms, std::move(done));
 }
 
 void dispatch_node::leave(std::uint64_t ticket)
 {
-    this->desk.leave(ticket);
+    this->router.leave(ticket);
 }
 
 bool dispatch_node::cancel(const std::string& job)
@@ -190,7 +190,7 @@
         {
             peer->second.load = ended->load;
         }
-        this->desk.on_result(link, *ended);
+        this->router.on_result(link, *ended);
         return;
     }
     if (const auto* cancelled = std::get_if<cancel_message>(&message))
@@ -218,9 +218,9 @@
     this->peers.erase(link);
     this->dispatcher.cancel_origin(link, "accepting instance lost",
                                    event_loop::now());
-    this->desk.on_link_lost(link, lost);
+    this->router.on_link_lost(link, lost);
     this->pools.on_link_lost(link);
-    this->desk.resubmit_orphans(this->pools.self_view());
+    this->router.resubmit_orphans(this->pools.self_view());
 }
 
 void dispatch_node::on_peer_gone(const std::string& name)
@@ -271,7 +271,7 @@
         return;
     }
     this->dispatcher.pump(event_loop::now());
-    this->desk.tick(this->pools.self_view());
+    this->router.tick(this->pools.self_view());
     if (this->draining)
     {
         this->pools.release_idle();
@@ -297,9 +297,9 @@
         return;
     }
     this->draining = true;
-    LOG(INFO) << "node: draining; open_jobs=" << this->desk.open()
+    LOG(INFO) << "node: draining; open_jobs=" << this->router.open()
               << " pools=" << this->pools.holds().size();
-    this->desk.drain();
+    this->router.drain();
     this->pools.drain();
     this->refresh_hello();
     this->mesh.say_hello();
@@ -307,7 +307,7 @@
 
 bool dispatch_node::drained() const
 {
-    return this->desk.open() == 0 && this->dispatcher.idle() &&
+    return this->router.open() == 0 && this->dispatcher.idle() &&
            this->pools.servers_held() == 0;
 }
 
@@ -318,7 +318,7 @@
         return;
     }
     this->stopped = true;
-    this->desk.stop();
+    this->router.stop();
     this->pools.stop();
     this->mesh.stop();
 }
@@ -344,7 +344,7 @@
     this->metrics.set_gauge("cpu_milli", "state=\"waiting\"",
                             static_cast<double>(load.waiting_cpu));
     this->counts.write(this->metrics);
-    this->desk.write_metrics(this->metrics);
+    this->router.write_metrics(this->metrics);
     this->queue_times.write(this->metrics, "queue_time_ms");
 }
 
@@ -359,7 +359,7 @@
                        {"ready", this->ready()},
                        {"config_version", this->table.version()},
                        {"store_reachable", this->pools.is_store_reachable()},
-                       {"open_jobs", this->desk.open()},
+                       {"open_jobs", this->router.open()},
                        {"pool_jobs", this->dispatcher.open_jobs()},
                        {"servers_known", this->pools.servers_known()},
                        {"servers_held", this->pools.servers_held()},
--- a/src/libruntime/node/dispatch_node.hpp
+++ b/src/libruntime/node/dispatch_node.hpp
@@ -5,12 +5,12 @@
 #include "metrics_registry.hpp"
 #include "node/event_counts.hpp"
 #include "node/event_loop.hpp"
-#include "node/job_desk.hpp"
+#include "node/job_router.hpp"
 #include "node/latency_histogram.hpp"
 #include "node/node_settings.hpp"
 #include "node/peer_mesh.hpp"
 #include "node/platform_ports.hpp"
-#include "node/pool_keeper.hpp"
+#include "node/pool_manager.hpp"
 
 #include <cstdint>
 #include <map>
@@ -21,8 +21,8 @@
 namespace jujubedrum
 {
 
-/// An instance on the users' platform: accepts jobs of callers, which its desk
-/// follows, and runs those of the pools that its keeper holds.
+/// An instance on the users' platform: accepts jobs of callers, which its
+/// router follows, and runs those of the pools that its pool manager holds.
 class dispatch_node : private job_listener,
                       private mesh_listener,
                       private store_listener
@@ -43,7 +43,7 @@
 
     /// Returns the ticket by which the caller may leave.
     std::uint64_t submit(job_request request, const job_terms& terms,
-                         job_desk::job_callback done);
+                         job_router::job_callback done);
     /// The caller of the ticket left; its tasks are stopped.
     void leave(std::uint64_t ticket);
     /// Cancels a job wherever it runs. Returns whether it is known here.
@@ -89,10 +89,10 @@
     latency_histogram queue_times;
     route_table table;
     std::map<std::uint64_t, hello_message> peers; ///< last hello by link
-    pool_keeper pools;
+    pool_manager pools;
     pool_dispatcher dispatcher;
     peer_mesh mesh;
-    job_desk desk;
+    job_router router;
     bool draining = false;
     bool stopped = false;
 };
--- a/src/libruntime/node/job_desk.cpp
+++ b/src/libruntime/node/job_router.cpp
@@ -1,4 +1,4 @@
-#include "node/job_desk.hpp"
+#include "node/job_router.hpp"
 
 #include "logging.hpp"
 
@@ -39,10 +39,10 @@
 
 } // namespace
 
-job_desk::job_desk(const node_settings& values, const route_table& table,
-                   std::map<std::uint64_t, hello_message>& known_peers,
-                   peer_mesh& links, pool_dispatcher& local,
-                   metrics_registry& registry, event_counts& events)
+job_router::job_router(const node_settings& values, const route_table& table,
+                       std::map<std::uint64_t, hello_message>& known_peers,
+                       peer_mesh& links, pool_dispatcher& local,
+                       metrics_registry& registry, event_counts& events)
     : settings(values)
     , routes(table)
     , peers(known_peers)
@@ -54,13 +54,13 @@
 {
 }
 
-void job_desk::drain()
+void job_router::drain()
 {
     this->draining = true;
     this->drain_began = event_loop::now();
 }
 
-void job_desk::stop()
+void job_router::stop()
 {
     while (!this->open_jobs.empty())
     {
@@ -70,14 +70,14 @@
     }
 }
 
-void job_desk::tick(const instance_view& self)
+void job_router::tick(const instance_view& self)
 {
     this->route_waiting();
     this->resubmit_orphans(self);
     this->expire_jobs();
 }
 
-void job_desk::on_result(std::uint64_t link, const result_message& ended)
+void job_router::on_result(std::uint64_t link, const result_message& ended)
 {
     const auto at = this->open_jobs.find(ended.ticket);
     if (at == this->open_jobs.end() || at->second.link != link)
@@ -94,7 +94,7 @@
     this->finish_job(ended.ticket, ended.result);
 }
 
-void job_desk::on_link_lost(std::uint64_t link, const instance_view& holder)
+void job_router::on_link_lost(std::uint64_t link, const instance_view& holder)
 {
     lost_holder lost{holder, {}};
     for (auto& [ticket, job] : this->open_jobs)
@@ -111,15 +111,15 @@
     }
 }
 
-void job_desk::write_metrics(metrics_registry& registry) const
+void job_router::write_metrics(metrics_registry& registry) const
 {
     registry.set_gauge("open_jobs",
                        static_cast<double>(this->open_jobs.size()));
     this->job_times.write(registry, "job_time_ms");
 }
 
-std::uint64_t job_desk::submit(job_request request, const job_terms& terms,
-                               job_callback done)
+std::uint64_t job_router::submit(job_request request, const job_terms& terms,
+                                 job_callback done)
 {
     const std::uint64_t ticket = this->next_ticket++;
     open_job job;
@@ -139,8 +139,8 @@
     return ticket;
 }
 
-bool job_desk::ends_in_time(const job_request& request,
-                            const job_terms& terms) const
+bool job_router::ends_in_time(const job_request& request,
+                              const job_terms& terms) const
 {
     const auto left = this->drain_began + this->settings.grace() - stop_margin -
                       event_loop::now();
@@ -150,7 +150,7 @@
            std::chrono::duration<double>(needed) * stop_safety;
 }
 
-void job_desk::route_job(std::uint64_t ticket, open_job& job)
+void job_router::route_job(std::uint64_t ticket, open_job& job)
 {
     const std::uint64_t cpu = cpu_of(job.request);
     const dispatch_load own = this->dispatcher.load(event_loop::now());
@@ -216,7 +216,7 @@
                     submit_message{ticket, job.request, this->terms_now(job)});
 }
 
-void job_desk::await_holder(std::uint64_t ticket, const open_job& job)
+void job_router::await_holder(std::uint64_t ticket, const open_job& job)
 {
     const instant now = event_loop::now();
     const auto ideal =
@@ -234,7 +234,7 @@
                      {job_outcome::refused, "no holder", no_holder_retry});
 }
 
-void job_desk::route_waiting()
+void job_router::route_waiting()
 {
     const std::set<std::uint64_t> tickets = this->unrouted;
     for (const std::uint64_t ticket : tickets)
@@ -249,7 +249,7 @@
     }
 }
 
-job_terms job_desk::terms_now(const open_job& job)
+job_terms job_router::terms_now(const open_job& job)
 {
     job_terms terms = job.terms;
     terms.waited = std::chrono::duration_cast<milliseconds>(event_loop::now() -
@@ -258,7 +258,7 @@
     return terms;
 }
 
-void job_desk::finish_job(std::uint64_t ticket, const job_result& reported)
+void job_router::finish_job(std::uint64_t ticket, const job_result& reported)
 {
     const auto at = this->open_jobs.find(ticket);
     if (at == this->open_jobs.end())
@@ -293,7 +293,7 @@
     done(result);
 }
 
-void job_desk::leave(std::uint64_t ticket)
+void job_router::leave(std::uint64_t ticket)
 {
     const auto at = this->open_jobs.find(ticket);
     if (at == this->open_jobs.end())
@@ -313,7 +313,7 @@
     this->mesh.send(job.link, cancel_message{job.request.id, "caller left"});
 }
 
-void job_desk::resubmit_orphans(const instance_view& self)
+void job_router::resubmit_orphans(const instance_view& self)
 {
     if (this->lost_holders.empty())
     {
@@ -363,7 +363,7 @@
     }
 }
 
-void job_desk::expire_jobs()
+void job_router::expire_jobs()
 {
     const instant now = event_loop::now();
     std::vector<std::uint64_t> expired;
--- a/src/libruntime/node/job_desk.hpp
+++ b/src/libruntime/node/job_router.hpp
@@ -20,18 +20,18 @@
 
 /// Follows the jobs that callers submitted to this instance: chooses the holder
 /// of each, sends it again after a holder was lost, and answers it once.
-class job_desk
+class job_router
 {
 public:
     using job_callback = std::function<void(const job_result&)>;
 
-    /// The referenced objects outlive the desk.
-    /// \param known_peers last hello of each linked instance; the desk adds
+    /// The referenced objects outlive the router.
+    /// \param known_peers last hello of each linked instance; the router adds
     /// what it sends to their load.
-    job_desk(const node_settings& values, const route_table& table,
-             std::map<std::uint64_t, hello_message>& known_peers,
-             peer_mesh& links, pool_dispatcher& local,
-             metrics_registry& registry, event_counts& events);
+    job_router(const node_settings& values, const route_table& table,
+               std::map<std::uint64_t, hello_message>& known_peers,
+               peer_mesh& links, pool_dispatcher& local,
+               metrics_registry& registry, event_counts& events);
 
     /// Returns the ticket by which the caller may leave.
     std::uint64_t submit(job_request request, const job_terms& terms,
--- a/src/libruntime/node/pool_keeper.cpp
+++ b/src/libruntime/node/pool_manager.cpp
@@ -1,4 +1,4 @@
-#include "node/pool_keeper.hpp"
+#include "node/pool_manager.hpp"
 
 #include "logging.hpp"
 
@@ -30,9 +30,9 @@
 
 } // namespace
 
-pool_keeper::pool_keeper(event_loop& events, const node_settings& values,
-                         std::uint64_t life, const node_parts& others,
-                         std::function<void()> on_holds_changed)
+pool_manager::pool_manager(event_loop& events, const node_settings& values,
+                           std::uint64_t life, const node_parts& others,
+                           std::function<void()> on_holds_changed)
     : loop(events)
     , settings(values)
     , boot(life)
@@ -48,14 +48,14 @@
 {
 }
 
-void pool_keeper::tick()
+void pool_manager::tick()
 {
     this->choose_server_watch();
     this->check_servers();
     this->elect();
 }
 
-void pool_keeper::on_members_read()
+void pool_manager::on_members_read()
 {
     if (!this->members_read)
     {
@@ -64,7 +64,7 @@
     }
 }
 
-void pool_keeper::on_hello(const instance_view& peer, bool added)
+void pool_manager::on_hello(const instance_view& peer, bool added)
 {
     for (const pool_hold& hold : peer.holds)
     {
@@ -77,7 +77,7 @@
     }
 }
 
-void pool_keeper::on_link_lost(std::uint64_t link)
+void pool_manager::on_link_lost(std::uint64_t link)
 {
     std::erase_if(this->awaited, [link](const auto& entry)
                   { return entry.second.link == link; });
@@ -85,7 +85,7 @@
     this->elect();
 }
 
-void pool_keeper::on_release(const release_message& released)
+void pool_manager::on_release(const release_message& released)
 {
     for (const std::string& id : released.servers)
     {
@@ -94,12 +94,12 @@
     this->check_servers();
 }
 
-void pool_keeper::drain()
+void pool_manager::drain()
 {
     this->draining = true;
 }
 
-void pool_keeper::stop()
+void pool_manager::stop()
 {
     this->stopped = true;
     for (const auto& [id, session] : this->sessions)
@@ -109,14 +109,14 @@
     this->sessions.clear();
 }
 
-std::size_t pool_keeper::servers_reachable() const
+std::size_t pool_manager::servers_reachable() const
 {
     return static_cast<std::size_t>(std::count_if(
         this->sessions.begin(), this->sessions.end(),
         [](const auto& entry) { return entry.second->is_reachable(); }));
 }
 
-instance_view pool_keeper::self_view() const
+instance_view pool_manager::self_view() const
 {
     instance_view view;
     view.name = this->settings.instance();
@@ -131,7 +131,7 @@
     return view;
 }
 
-bool pool_keeper::is_clean(const pool_id& pool, const held_pool& hold) const
+bool pool_manager::is_clean(const pool_id& pool, const held_pool& hold) const
 {
     if (event_loop::now() - hold.taken >
         this->settings.longest_lease() + lease_margin)
@@ -151,8 +151,8 @@
                        });
 }
 
-void pool_keeper::start(const std::string& server, const run_id& run,
-                        const std::string& payload)
+void pool_manager::start(const std::string& server, const run_id& run,
+                         const std::string& payload)
 {
     const auto at = this->sessions.find(server);
     if (at == this->sessions.end())
@@ -171,7 +171,7 @@
     at->second->start(run, payload);
 }
 
-void pool_keeper::stop(const std::string& server, const run_id& run)
+void pool_manager::stop(const std::string& server, const run_id& run)
 {
     const auto at = this->sessions.find(server);
     if (at != this->sessions.end())
@@ -180,7 +180,7 @@
     }
 }
 
-void pool_keeper::look(const std::string& server)
+void pool_manager::look(const std::string& server)
 {
     const auto at = this->sessions.find(server);
     if (at != this->sessions.end())
@@ -189,7 +189,7 @@
     }
 }
 
-void pool_keeper::on_servers(const std::vector<server_change>& changes)
+void pool_manager::on_servers(const std::vector<server_change>& changes)
 {
     const instant now = event_loop::now();
     for (const server_change& change : changes)
@@ -224,7 +224,7 @@
     this->check_servers();
 }
 
-void pool_keeper::on_server_ids(const std::set<std::string>& ids)
+void pool_manager::on_server_ids(const std::set<std::string>& ids)
 {
     for (auto& [id, known] : this->servers)
     {
@@ -237,7 +237,7 @@
     this->check_servers();
 }
 
-void pool_keeper::on_store(bool reachable, const std::string& reason)
+void pool_manager::on_store(bool reachable, const std::string& reason)
 {
     if (reachable != this->store_reachable)
     {
@@ -248,7 +248,7 @@
     }
 }
 
-std::map<std::string, std::size_t> pool_keeper::electable_servers() const
+std::map<std::string, std::size_t> pool_manager::electable_servers() const
 {
     const instant now = event_loop::now();
     const bool store_known =
@@ -272,7 +272,7 @@
     return counts;
 }
 
-bool pool_keeper::settled()
+bool pool_manager::settled()
 {
     if (!this->begun)
     {
@@ -286,7 +286,7 @@
     return this->begun;
 }
 
-void pool_keeper::choose_server_watch()
+void pool_manager::choose_server_watch()
 {
     const bool wanted =
         this->settled()
@@ -301,7 +301,7 @@
     this->store.watch_servers(wanted || !this->sessions.empty());
 }
 
-void pool_keeper::elect()
+void pool_manager::elect()
 {
     if (this->draining || !this->settled())
     {
@@ -333,7 +333,7 @@
     }
 }
 
-void pool_keeper::claim(const pool_id& pool)
+void pool_manager::claim(const pool_id& pool)
 {
     if (!this->claiming.insert(pool).second)
     {
@@ -345,8 +345,8 @@
                            { this->on_fence(pool, fence); });
 }
 
-void pool_keeper::on_fence(const pool_id& pool,
-                           std::optional<std::uint64_t> fence)
+void pool_manager::on_fence(const pool_id& pool,
+                            std::optional<std::uint64_t> fence)
 {
     this->claiming.erase(pool);
     if (this->stopped || this->draining)
@@ -373,7 +373,7 @@
                          pool_election::rank(self, live, pool));
 }
 
-void pool_keeper::hold(const pool_id& pool, std::uint64_t token)
+void pool_manager::hold(const pool_id& pool, std::uint64_t token)
 {
     std::uint64_t& highest = this->highest_token[pool];
     highest = std::max(highest, token);
@@ -403,7 +403,7 @@
     this->holds_changed();
 }
 
-void pool_keeper::give_up(const pool_id& pool, const std::string& reason)
+void pool_manager::give_up(const pool_id& pool, const std::string& reason)
 {
     if (this->held.erase(pool) == 0)
     {
@@ -429,7 +429,7 @@
     this->holds_changed();
 }
 
-void pool_keeper::drop_server(const std::string& id)
+void pool_manager::drop_server(const std::string& id)
 {
     const auto at = this->sessions.find(id);
     if (at == this->sessions.end())
@@ -441,7 +441,7 @@
     this->dispatcher.abandon_server(id, event_loop::now());
 }
 
-void pool_keeper::hold_server(const server_info& info, std::uint64_t token)
+void pool_manager::hold_server(const server_info& info, std::uint64_t token)
 {
     this->dispatcher.set_server(info);
     lease_options lease;
@@ -468,7 +468,7 @@
     session->begin();
 }
 
-void pool_keeper::check_servers()
+void pool_manager::check_servers()
 {
     if (this->draining || this->stopped)
     {
@@ -503,7 +503,7 @@
     }
 }
 
-void pool_keeper::release_idle()
+void pool_manager::release_idle()
 {
     if (this->dispatcher.load(event_loop::now()).waiting_cpu > 0)
     {
--- a/src/libruntime/node/pool_keeper.hpp
+++ b/src/libruntime/node/pool_manager.hpp
@@ -37,7 +37,7 @@
 
 /// Takes pools of backend servers and gives them up, and keeps a session with
 /// each server that this instance holds.
-class pool_keeper : public task_launcher
+class pool_manager : public task_launcher
 {
 public:
     struct held_pool
@@ -46,11 +46,11 @@
         instant taken{0};
     };
 
-    /// The parts outlive the keeper; they are not used before its first call.
+    /// The parts outlive the manager; they are not used before its first call.
     /// \param on_holds_changed called when pools were taken or given up.
-    pool_keeper(event_loop& events, const node_settings& values,
-                std::uint64_t life, const node_parts& others,
-                std::function<void()> on_holds_changed);
+    pool_manager(event_loop& events, const node_settings& values,
+                 std::uint64_t life, const node_parts& others,
+                 std::function<void()> on_holds_changed);
 
     // task_launcher
     void start(const std::string& server, const run_id& run,
