Leave the pools of a domain that is back to its instances

Change: the servers of a domain must have been writing for 5 s without a pause before its pools count as orphaned. The test fails without the change.

--- a/src/libruntime/node/pool_manager.cpp
+++ b/src/libruntime/node/pool_manager.cpp
@@ -204,6 +204,7 @@
             }
             continue;
         }
+        this->on_domain_news(change.info->domain);
         known_server& known = this->servers[change.id];
         if (known.info.draining != change.info->draining)
         {
@@ -224,6 +225,17 @@
     this->check_servers();
 }
 
+void pool_manager::on_domain_news(const std::string& domain)
+{
+    const instant now = event_loop::now();
+    const auto [at, first] = this->domain_news.try_emplace(domain);
+    if (first || now - at->second.last > foreign_news)
+    {
+        at->second.since = now;
+    }
+    at->second.last = now;
+}
+
 void pool_manager::on_server_ids(const std::set<std::string>& ids)
 {
     for (auto& [id, known] : this->servers)
@@ -258,10 +270,14 @@
     {
         const std::string& domain = server.info.domain;
         const auto heard = this->domain_heard.find(domain);
+        const auto news = this->domain_news.find(domain);
         // In a cut both the servers and the instances of the other domain are
         // silent; without instances its servers still write their entries.
+        // Just after a cut the servers are back before the instances.
         const bool orphaned = store_known &&
                               now - server.seen <= foreign_news &&
+                              news != this->domain_news.end() &&
+                              now - news->second.since >= foreign_patience &&
                               (heard == this->domain_heard.end() ||
                                now - heard->second >= foreign_patience);
         if (orphaned || domain == this->settings.domain())
--- a/src/libruntime/node/pool_manager.hpp
+++ b/src/libruntime/node/pool_manager.hpp
@@ -103,12 +103,19 @@
         instant seen{0};                      ///< last news of its entry
         std::optional<instant> missing_since; ///< its entry is gone
     };
+    /// When the servers of a failure domain wrote their entries.
+    struct entry_news
+    {
+        instant since{0}; ///< without a long pause until the last one
+        instant last{0};
+    };
     struct awaited_server
     {
         std::uint64_t link = 0; ///< holder that still uses the server
         instant until{0};
     };
 
+    void on_domain_news(const std::string& domain);
     /// Returns whether enough is known of the others to take pools.
     [[nodiscard]] bool settled();
     /// Follows the list of servers only where it may be needed.
@@ -146,6 +153,7 @@
     std::map<pool_id, std::uint64_t> highest_token;
     /// When an instance of each failure domain was last heard of.
     std::map<std::string, instant> domain_heard;
+    std::map<std::string, entry_news> domain_news;
     bool draining = false;
     bool stopped = false;
     bool store_reachable = false;
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -283,6 +283,29 @@
     BOOST_CHECK(event_loop::now() - lost >= seconds(5));
 }
 
+// Incident inc-3d75: as a cut of 5.4 s healed, the entries of the other
+// domain's servers were back before its instances were linked again, and its
+// pools were taken, and taken back 3 s later.
+BOOST_AUTO_TEST_CASE(domain_back_after_cut_its_pools_taken_only_after_patience)
+{
+    this->add_server("s1", "d1");
+    this->add_server("s2", "d2");
+    this->start_node("a", "d1");
+    this->start_node("b", "d2");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    BOOST_REQUIRE(this->wait_for_servers("b", 1));
+    auto cut_off = std::move(this->servers["s2"]);
+    this->servers.erase("s2");
+    this->nodes.erase("b");
+    const instant cut = event_loop::now();
+    this->wait([cut] { return event_loop::now() - cut >= seconds(6); });
+    this->servers["s2"] = std::move(cut_off);
+    this->write_entry("s2");
+    const instant healed = event_loop::now();
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    BOOST_CHECK(event_loop::now() - healed >= seconds(5));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubedrum
