Log why jobs are resubmitted and when pools become clean

The line on a resubmission now names the lost holder, its boot, the basis of the decision and how long the link has been closed; a holder logs when a pool becomes clean, with the age of its hold, its servers and those it has taken over. Decisions are unchanged.

--- a/src/libruntime/node/job_router.cpp
+++ b/src/libruntime/node/job_router.cpp
@@ -98,7 +98,7 @@
 
 void job_router::on_link_closed(std::uint64_t link, const instance_view& holder)
 {
-    disconnected_holder disconnected{holder, {}};
+    disconnected_holder disconnected{holder, {}, event_loop::now()};
     for (auto& [ticket, job] : this->open_jobs)
     {
         if (!job.local && job.link == link)
@@ -332,13 +332,13 @@
         instances.push_back(peer.instance);
     }
     instances.push_back(self);
-    /// Tickets, each with the only holder that may get the job, if any.
-    std::vector<std::pair<std::uint64_t, std::string>> resubmittable;
+    /// Each with whether the holder reconnected with all its pools, and so
+    /// still has the runs.
+    std::vector<std::pair<disconnected_holder, bool>> resubmittable;
     std::erase_if(
         this->disconnected_holders,
         [&instances, &resubmittable](const disconnected_holder& disconnected)
         {
-            // A holder that reconnected with all its pools still has the runs.
             const bool rejoined =
                 std::any_of(instances.begin(), instances.end(),
                             [&disconnected](const instance_view& other) {
@@ -350,14 +350,21 @@
             {
                 return false;
             }
-            for (const std::uint64_t ticket : disconnected.tickets)
-            {
-                resubmittable.emplace_back(
-                    ticket, rejoined ? disconnected.instance.name : "");
-            }
+            resubmittable.emplace_back(disconnected, rejoined);
             return true;
         });
-    for (const auto& [ticket, holder] : resubmittable)
+    for (const auto& [disconnected, rejoined] : resubmittable)
+    {
+        this->resubmit(disconnected, rejoined);
+    }
+}
+
+void job_router::resubmit(const disconnected_holder& disconnected,
+                          bool rejoined)
+{
+    const auto closed_for = std::chrono::duration_cast<milliseconds>(
+        event_loop::now() - disconnected.since);
+    for (const std::uint64_t ticket : disconnected.tickets)
     {
         const auto at = this->open_jobs.find(ticket);
         if (at == this->open_jobs.end())
@@ -366,9 +373,13 @@
         }
         this->counts.add("job_sent_again");
         LOG(INFO) << "job: resubmitted after the link to its holder closed; id="
-                  << at->second.request.id;
+                  << at->second.request.id
+                  << " holder=" << disconnected.instance.name
+                  << " holder_boot=" << disconnected.instance.boot
+                  << " basis=" << (rejoined ? "rejoined" : "pools_clean")
+                  << " closed_ms=" << closed_for.count();
         at->second.tried_holders.clear();
-        at->second.required_holder = holder;
+        at->second.required_holder = rejoined ? disconnected.instance.name : "";
         this->route_job(ticket, at->second);
     }
 }
--- a/src/libruntime/node/job_router.hpp
+++ b/src/libruntime/node/job_router.hpp
@@ -85,9 +85,13 @@
     {
         instance_view instance;
         std::set<std::uint64_t> tickets;
+        instant since{0}; ///< when the link closed
     };
 
     void route_job(std::uint64_t ticket, open_job& job);
+    /// Routes the jobs of a disconnected holder again.
+    /// \param rejoined whether the holder reconnected; its jobs go to it alone.
+    void resubmit(const disconnected_holder& disconnected, bool rejoined);
     /// Refuses a job that no holder can take now, or lets it wait if a holder
     /// is expected in time.
     void defer_or_refuse(std::uint64_t ticket, const open_job& job);
--- a/src/libruntime/node/pool_manager.cpp
+++ b/src/libruntime/node/pool_manager.cpp
@@ -59,6 +59,39 @@
     this->update_server_watch();
     this->update_sessions();
     this->elect();
+    this->log_clean_pools();
+}
+
+void pool_manager::log_clean_pools()
+{
+    for (auto& [pool, hold] : this->held)
+    {
+        const bool clean = this->is_clean(pool, hold);
+        if (clean == hold.logged_clean)
+        {
+            continue;
+        }
+        hold.logged_clean = clean;
+        std::size_t known = 0;
+        std::size_t attached = 0;
+        for (const auto& [id, server] : this->servers)
+        {
+            if (pool_of(server.info) == pool)
+            {
+                ++known;
+                const auto at = this->sessions.find(id);
+                attached +=
+                    at != this->sessions.end() && at->second->is_attached();
+            }
+        }
+        const auto age = std::chrono::duration_cast<milliseconds>(
+            event_loop::now() - hold.taken);
+        LOG(INFO) << "pool: " << (clean ? "clean" : "not clean")
+                  << "; domain=" << pool.domain << " shard=" << pool.shard
+                  << " token=" << hold.token << " age_ms=" << age.count()
+                  << " servers=" << known << " attached=" << attached
+                  << " handovers=" << this->pending_handovers.size();
+    }
 }
 
 void pool_manager::on_members_read()
@@ -407,7 +440,7 @@
 {
     std::uint64_t& highest = this->highest_token[pool];
     highest = std::max(highest, token);
-    this->held[pool] = {token, event_loop::now()};
+    this->held[pool] = {token, event_loop::now(), false};
     this->counts.add("pool_taken");
     LOG(INFO) << "pool: taken; domain=" << pool.domain
               << " shard=" << pool.shard << " token=" << token
--- a/src/libruntime/node/pool_manager.hpp
+++ b/src/libruntime/node/pool_manager.hpp
@@ -44,6 +44,7 @@
     {
         std::uint64_t token = 0;
         instant taken{0};
+        bool logged_clean = false; ///< state at its last log line
     };
 
     /// The components outlive the manager. The constructor does not use them,
@@ -122,6 +123,8 @@
     };
 
     void on_domain_entry(const std::string& domain);
+    /// Logs the held pools that have become clean, or no longer are.
+    void log_clean_pools();
     /// Returns whether enough is known of the other instances to claim pools.
     /// Remains true from then on.
     [[nodiscard]] bool ready_to_claim();
