--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -106,6 +106,30 @@
     BOOST_TEST(this->record.total_starts() == 1);
 }
 
+// Guards against running a task again while the lease that a stopped holder
+// renewed on its run has not ended.
+BOOST_AUTO_TEST_CASE(holder_stopped_with_run_successor_cut_off_runs_once)
+{
+    this->add_server("s1", "d1");
+    this->start_node("a", "d1");
+    this->start_node("b", "d1");
+    this->start_node("c", "d2");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["c"]->node().ready(); }));
+    this->submit("c", "0000000000000001", 1, 5000);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->add_server("s2", "d2");
+    BOOST_REQUIRE(this->wait_for_servers("c", 1));
+    this->nodes["a"]->node().drain();
+    BOOST_REQUIRE(this->wait([&] { return this->holds_pools("b"); }));
+    const instant taken = event_loop::now();
+    this->wait([taken] { return event_loop::now() - taken >= seconds(2); });
+    this->servers["s1"]->set_unresponsive(true);
+    this->nodes.erase("a");
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_TEST(this->record.violations().empty());
+}
+
 // The answer to a start is lost; the poll reply shows the run.
 BOOST_AUTO_TEST_CASE(start_answer_lost_task_runs_once)
 {
--- a/tests/unit/dispatch/node_fixture.cpp
+++ b/tests/unit/dispatch/node_fixture.cpp
@@ -110,6 +110,12 @@
         });
 }
 
+bool node_fixture::holds_pools(const std::string& name)
+{
+    const auto state = nlohmann::json::parse(this->nodes[name]->node().dump());
+    return !state["pools"].empty();
+}
+
 void node_fixture::submit(const std::string& node, const std::string& job,
                           std::uint32_t tasks, int run_ms,
                           milliseconds time_left)
