Take a pool as clean only after the takeover of its servers

Cause: a holder reported its pool as clean once 1.1 s, the longest lease and a margin, had passed since it took the pool. During a planned stop it leaves the servers with runs to the stopping holder for up to 5.2 s, and that one goes on renewing their lease and starting tasks. When it exits, accepting instances find its pools clean and submit its jobs again at once, while its runs still have up to a second of lease. The same holds for a holder that is cut off from its peers but not from its servers. The class of fault: elapsed time was taken as proof that a lease had ended, although its holder could still renew it.

In one, the stopping holder starts a run at 23.515 s and exits at 23.522 s; its successor logs "resubmitted after the link to its holder closed" at 23.523 s, starts the task at 23.524 s and stops the old run at 23.527 s.

A pool is now clean when every server in it has been taken over: its server then refuses the earlier tokens, and a poll reply has shown no unknown run. Where a server cannot be reached, the accepting instance submits the job again a lease and a margin after it has seen that the lost holder restarted or released its pools, since from then on it renews nothing; this is the second test. A holder that is only silent proves nothing, so its jobs wait for a takeover or for their callers' limit.

Ruled out for these plays: a second submission by the caller (it would come 1.3 s after the exit, the start came after 1 to 400 ms), and a late renewal (the old runs ended as stopped, not lapsed).

--- a/src/libruntime/node/job_router.cpp
+++ b/src/libruntime/node/job_router.cpp
@@ -28,6 +28,9 @@
 constexpr double drain_safety_factor = 2.5;
 /// Part of the grace period that is reserved for the last answers and the exit.
 constexpr milliseconds drain_margin{600};
+/// For requests of an earlier holder that are in transit when its leases
+/// expire.
+constexpr milliseconds lease_margin{100};
 
 std::uint64_t requested_cpu(const job_request& request)
 {
@@ -98,7 +101,8 @@
 
 void job_router::on_link_closed(std::uint64_t link, const instance_view& holder)
 {
-    disconnected_holder disconnected{holder, {}, event_loop::now()};
+    disconnected_holder disconnected{
+        holder, {}, event_loop::now(), std::nullopt};
     for (auto& [ticket, job] : this->open_jobs)
     {
         if (!job.local && job.link == link)
@@ -332,35 +336,56 @@
         instances.push_back(peer.instance);
     }
     instances.push_back(self);
-    /// Each with whether the holder reconnected with all its pools, and so
-    /// still has the runs.
-    std::vector<std::pair<disconnected_holder, bool>> resubmittable;
-    std::erase_if(
-        this->disconnected_holders,
-        [&instances, &resubmittable](const disconnected_holder& disconnected)
+    std::vector<std::pair<disconnected_holder, resubmission_basis>>
+        resubmittable;
+    std::erase_if(this->disconnected_holders,
+                  [&](disconnected_holder& disconnected)
+                  {
+                      const auto basis =
+                          this->find_basis(disconnected, instances);
+                      if (basis)
+                      {
+                          resubmittable.emplace_back(disconnected, *basis);
+                      }
+                      return basis.has_value();
+                  });
+    for (const auto& [disconnected, basis] : resubmittable)
+    {
+        this->resubmit(disconnected, basis);
+    }
+}
+
+std::optional<job_router::resubmission_basis>
+job_router::find_basis(disconnected_holder& disconnected,
+                       const std::vector<instance_view>& instances) const
+{
+    const instant now = event_loop::now();
+    for (const instance_view& instance : instances)
+    {
+        if (pool_election::same_holder(disconnected.instance, instance))
         {
-            const bool rejoined =
-                std::any_of(instances.begin(), instances.end(),
-                            [&disconnected](const instance_view& other) {
-                                return pool_election::same_holder(
-                                    disconnected.instance, other);
-                            });
-            if (!rejoined && !pool_election::all_clean(
-                                 disconnected.instance.holds, instances))
-            {
-                return false;
-            }
-            resubmittable.emplace_back(disconnected, rejoined);
-            return true;
-        });
-    for (const auto& [disconnected, rejoined] : resubmittable)
+            return resubmission_basis::rejoined;
+        }
+        if (!disconnected.released &&
+            pool_election::has_released(disconnected.instance, instance))
+        {
+            disconnected.released = now;
+        }
+    }
+    if (pool_election::all_clean(disconnected.instance.holds, instances))
+    {
+        return resubmission_basis::pools_clean;
+    }
+    if (disconnected.released && now - *disconnected.released >
+                                     this->settings.max_lease() + lease_margin)
     {
-        this->resubmit(disconnected, rejoined);
+        return resubmission_basis::leases_ended;
     }
+    return std::nullopt;
 }
 
 void job_router::resubmit(const disconnected_holder& disconnected,
-                          bool rejoined)
+                          resubmission_basis basis)
 {
     const auto closed_for = std::chrono::duration_cast<milliseconds>(
         event_loop::now() - disconnected.since);
@@ -376,14 +401,30 @@
                   << at->second.request.id
                   << " holder=" << disconnected.instance.name
                   << " holder_boot=" << disconnected.instance.boot
-                  << " basis=" << (rejoined ? "rejoined" : "pools_clean")
+                  << " basis=" << basis_name(basis)
                   << " closed_ms=" << closed_for.count();
         at->second.tried_holders.clear();
-        at->second.required_holder = rejoined ? disconnected.instance.name : "";
+        at->second.required_holder = basis == resubmission_basis::rejoined
+                                         ? disconnected.instance.name
+                                         : "";
         this->route_job(ticket, at->second);
     }
 }
 
+const char* job_router::basis_name(resubmission_basis basis)
+{
+    switch (basis)
+    {
+    case resubmission_basis::rejoined:
+        return "rejoined";
+    case resubmission_basis::pools_clean:
+        return "pools_clean";
+    case resubmission_basis::leases_ended:
+        break;
+    }
+    return "leases_ended";
+}
+
 void job_router::expire_jobs()
 {
     const instant now = event_loop::now();
--- a/src/libruntime/node/job_router.hpp
+++ b/src/libruntime/node/job_router.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -56,9 +57,8 @@
     /// The link to a holder closed. Jobs sent over it may run or not, so they
     /// are kept until `resubmit_orphaned_jobs` can route them.
     void on_link_closed(std::uint64_t link, const instance_view& holder);
-    /// Routes jobs of disconnected holders again: to any holder once none of
-    /// their runs can remain on a server, or to their former holder if it
-    /// reconnected without a restart.
+    /// Routes jobs of disconnected holders again, where `find_basis` finds a
+    /// reason.
     void resubmit_orphaned_jobs(const instance_view& self);
 
     [[nodiscard]] std::size_t open() const { return this->open_jobs.size(); }
@@ -86,12 +86,26 @@
         instance_view instance;
         std::set<std::uint64_t> tickets;
         instant since{0}; ///< when the link closed
+        /// When it was first seen to renew no more leases.
+        std::optional<instant> released;
+    };
+    /// Why no second run of a disconnected holder's job can overlap the first.
+    enum class resubmission_basis
+    {
+        rejoined,     ///< the holder reconnected, and gets the job again
+        pools_clean,  ///< successors took all its servers over
+        leases_ended, ///< the holder released its pools, and its leases ended
     };
 
     void route_job(std::uint64_t ticket, open_job& job);
-    /// Routes the jobs of a disconnected holder again.
-    /// \param rejoined whether the holder reconnected; its jobs go to it alone.
-    void resubmit(const disconnected_holder& disconnected, bool rejoined);
+    /// Returns why the jobs of a disconnected holder may be routed again; empty
+    /// while runs of them may remain.
+    [[nodiscard]] std::optional<resubmission_basis>
+    find_basis(disconnected_holder& disconnected,
+               const std::vector<instance_view>& instances) const;
+    void resubmit(const disconnected_holder& disconnected,
+                  resubmission_basis basis);
+    [[nodiscard]] static const char* basis_name(resubmission_basis basis);
     /// Refuses a job that no holder can take now, or lets it wait if a holder
     /// is expected in time.
     void defer_or_refuse(std::uint64_t ticket, const open_job& job);
--- a/src/libruntime/node/pool_manager.cpp
+++ b/src/libruntime/node/pool_manager.cpp
@@ -20,9 +20,6 @@
 /// Range between two fencing tokens from the store, for tokens that are derived
 /// while the store does not answer.
 constexpr std::uint64_t tokens_per_fence = 1024;
-/// For requests of an earlier holder that are in transit when its leases
-/// expire.
-constexpr milliseconds lease_margin{100};
 /// Entries that expired while the store was unreachable are rewritten within
 /// 2 s, so a server is removed only after this time without one.
 constexpr milliseconds missing_entry_grace_period{2500};
@@ -66,22 +63,22 @@
 {
     for (auto& [pool, hold] : this->held)
     {
-        const bool clean = this->is_clean(pool, hold);
+        const bool clean = this->is_clean(pool);
         if (clean == hold.logged_clean)
         {
             continue;
         }
         hold.logged_clean = clean;
         std::size_t known = 0;
-        std::size_t attached = 0;
+        std::size_t taken_over = 0;
         for (const auto& [id, server] : this->servers)
         {
             if (pool_of(server.info) == pool)
             {
                 ++known;
                 const auto at = this->sessions.find(id);
-                attached +=
-                    at != this->sessions.end() && at->second->is_attached();
+                taken_over +=
+                    at != this->sessions.end() && at->second->is_taken_over();
             }
         }
         const auto age = std::chrono::duration_cast<milliseconds>(
@@ -89,7 +86,7 @@
         LOG(INFO) << "pool: " << (clean ? "clean" : "not clean")
                   << "; domain=" << pool.domain << " shard=" << pool.shard
                   << " token=" << hold.token << " age_ms=" << age.count()
-                  << " servers=" << known << " attached=" << attached
+                  << " servers=" << known << " taken_over=" << taken_over
                   << " handovers=" << this->pending_handovers.size();
     }
 }
@@ -165,18 +162,13 @@
     view.draining = this->draining;
     for (const auto& [pool, hold] : this->held)
     {
-        view.holds.push_back({pool, hold.token, this->is_clean(pool, hold)});
+        view.holds.push_back({pool, hold.token, this->is_clean(pool)});
     }
     return view;
 }
 
-bool pool_manager::is_clean(const pool_id& pool, const held_pool& hold) const
+bool pool_manager::is_clean(const pool_id& pool) const
 {
-    if (event_loop::now() - hold.taken >
-        this->settings.max_lease() + lease_margin)
-    {
-        return true;
-    }
     return std::all_of(this->servers.begin(), this->servers.end(),
                        [this, &pool](const auto& entry)
                        {
@@ -186,7 +178,7 @@
                            }
                            const auto at = this->sessions.find(entry.first);
                            return at != this->sessions.end() &&
-                                  at->second->is_attached();
+                                  at->second->is_taken_over();
                        });
 }
 
--- a/src/libruntime/node/pool_manager.hpp
+++ b/src/libruntime/node/pool_manager.hpp
@@ -133,10 +133,9 @@
     /// Returns the number of servers by failure domain, for the domains whose
     /// pools this instance may claim.
     [[nodiscard]] std::map<std::string, std::size_t> claimable_servers() const;
-    /// Returns whether no run that an earlier holder started can remain on the
-    /// servers of the pool.
-    [[nodiscard]] bool is_clean(const pool_id& pool,
-                                const held_pool& hold) const;
+    /// Returns whether all servers of the pool were taken over, so that no run
+    /// of an earlier holder remains on them.
+    [[nodiscard]] bool is_clean(const pool_id& pool) const;
     void claim(const pool_id& pool);
     /// Takes a claimed pool unless another instance has taken it meanwhile.
     /// \param fence number from the store; empty: it did not answer.
--- a/src/libruntime/node/server_session.cpp
+++ b/src/libruntime/node/server_session.cpp
@@ -197,6 +197,7 @@
     if (!unknown)
     {
         this->attached = true;
+        this->taken_over = true;
     }
     if (this->attached)
     {
--- a/src/libruntime/node/server_session.hpp
+++ b/src/libruntime/node/server_session.hpp
@@ -52,9 +52,9 @@
     /// ended, which the next poll reply shows for each run.
     void on_entry(std::uint64_t entry_incarnation);
     [[nodiscard]] std::uint64_t token() const { return this->token_value; }
-    /// Returns whether the takeover is complete: a poll reply has shown no runs
-    /// of earlier holders.
-    [[nodiscard]] bool is_attached() const { return this->attached; }
+    /// Returns whether the server was taken over: it refuses earlier holders,
+    /// and a poll reply has shown none of their runs.
+    [[nodiscard]] bool is_taken_over() const { return this->taken_over; }
     [[nodiscard]] bool is_reachable() const { return this->reachable; }
     [[nodiscard]] const std::string& id() const { return this->id_value; }
 
@@ -90,7 +90,9 @@
     pool_dispatcher& dispatcher;
     std::function<void()> fenced;
     bool ended = false;
-    bool attached = false; ///< takeover is complete
+    /// No unknown run was in the last poll reply; reset when the lease ends.
+    bool attached = false;
+    bool taken_over = false; ///< has been attached
     bool reachable = false;
     bool extra_poll = false;
     std::uint64_t acknowledged = 0;
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -130,6 +130,29 @@
     BOOST_TEST(this->record.violations().empty());
 }
 
+// Guards against waiting for the takeover of a server that cannot be reached
+// although its last holder has ended and its leases with it.
+BOOST_AUTO_TEST_CASE(holder_restarted_server_cut_off_job_runs_after_lease)
+{
+    this->add_server("s1", "d1");
+    this->start_node("a", "d1");
+    this->start_node("b", "d1");
+    this->start_node("c", "d2");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["c"]->node().ready(); }));
+    this->submit("c", "0000000000000001", 1, 1500);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->add_server("s2", "d2");
+    BOOST_REQUIRE(this->wait_for_servers("c", 1));
+    this->servers["s1"]->set_unresponsive(true);
+    this->start_node("a", "d1");
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 2);
+    BOOST_TEST(this->record.violations().empty());
+}
+
 // The answer to a start is lost; the poll reply shows the run.
 BOOST_AUTO_TEST_CASE(start_answer_lost_task_runs_once)
 {
