Wait for every stopping instance before taking a server over

Callers could lose a request in a planned stop: when a holder and then its successor stop, the next holder kept one link for each server it leaves to them, the last one in the order of links. As soon as that one closed, it took over servers on which the other still had runs, and the job ended with 504.

A handover now names every stopping instance that held the pool, and ends when each has released the server or closed its link. An instance that stops releases the servers of its pools that it does not use, and releases that arrive before the pool is taken are remembered, since the stopping instance sends them once.

--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -204,7 +204,7 @@
     }
     if (const auto* released = std::get_if<release_message>(&message))
     {
-        this->pools.on_release(*released);
+        this->pools.on_release(link, *released);
     }
 }
 
--- a/src/libruntime/node/pool_manager.cpp
+++ b/src/libruntime/node/pool_manager.cpp
@@ -115,24 +115,56 @@
 
 void pool_manager::on_link_closed(std::uint64_t link)
 {
-    std::erase_if(this->pending_handovers, [link](const auto& entry)
-                  { return entry.second.link == link; });
+    this->released_servers.erase(link);
+    for (const auto& [id, server] : this->servers)
+    {
+        this->end_handover(link, id);
+    }
     this->update_sessions();
     this->elect();
 }
 
-void pool_manager::on_release(const release_message& released)
+void pool_manager::on_release(std::uint64_t link,
+                              const release_message& released)
 {
     for (const std::string& id : released.servers)
     {
-        this->pending_handovers.erase(id);
+        this->released_servers[link].insert(id);
+        this->end_handover(link, id);
     }
     this->update_sessions();
 }
 
+void pool_manager::end_handover(std::uint64_t link, const std::string& server)
+{
+    const auto at = this->pending_handovers.find(server);
+    if (at == this->pending_handovers.end())
+    {
+        return;
+    }
+    at->second.links.erase(link);
+    if (at->second.links.empty())
+    {
+        this->pending_handovers.erase(at);
+    }
+}
+
 void pool_manager::drain()
 {
     this->draining = true;
+    release_message unused;
+    for (const auto& [id, server] : this->servers)
+    {
+        if (this->held.count(pool_of(server.info)) > 0 &&
+            this->sessions.count(id) == 0)
+        {
+            unused.servers.push_back(id);
+        }
+    }
+    if (!unused.servers.empty())
+    {
+        this->mesh.broadcast(unused);
+    }
 }
 
 void pool_manager::stop()
@@ -437,21 +469,16 @@
     LOG(INFO) << "pool: taken; domain=" << pool.domain
               << " shard=" << pool.shard << " token=" << token
               << " store=" << (this->store_reachable ? "up" : "down");
-    const instant now = event_loop::now();
-    for (const auto& [link, peer] : this->peers)
+    const instant until =
+        event_loop::now() + this->settings.stop_grace_period() - release_margin;
+    for (const auto& [id, server] : this->servers)
     {
-        if (!peer.instance.draining ||
-            !pool_election::holds(peer.instance, pool))
+        if (pool_of(server.info) == pool)
         {
-            continue;
-        }
-        for (const auto& [id, server] : this->servers)
-        {
-            if (pool_of(server.info) == pool)
+            const auto links = this->users_of(id, pool);
+            if (!links.empty())
             {
-                this->pending_handovers[id] = {
-                    link,
-                    now + this->settings.stop_grace_period() - release_margin};
+                this->pending_handovers[id] = {links, until};
             }
         }
     }
@@ -459,6 +486,24 @@
     this->holds_changed();
 }
 
+std::set<std::uint64_t> pool_manager::users_of(const std::string& server,
+                                               const pool_id& pool) const
+{
+    std::set<std::uint64_t> result;
+    for (const auto& [link, peer] : this->peers)
+    {
+        const auto released = this->released_servers.find(link);
+        if (peer.instance.draining &&
+            pool_election::holds(peer.instance, pool) &&
+            (released == this->released_servers.end() ||
+             released->second.count(server) == 0))
+        {
+            result.insert(link);
+        }
+    }
+    return result;
+}
+
 void pool_manager::give_up(const pool_id& pool, const std::string& reason)
 {
     if (this->held.erase(pool) == 0)
--- a/src/libruntime/node/pool_manager.hpp
+++ b/src/libruntime/node/pool_manager.hpp
@@ -67,14 +67,15 @@
     /// \param added whether the link is new.
     void on_heartbeat(const instance_view& peer, bool added);
     void on_link_closed(std::uint64_t link);
-    void on_release(const release_message& released);
+    void on_release(std::uint64_t link, const release_message& released);
 
     /// Updates the watch of the server list, the sessions and the pools. To be
     /// called several times a second.
     void tick();
     /// Gives up and claims pools according to `pool_election`.
     void elect();
-    /// Begins a planned stop: no further pools or servers are taken.
+    /// Begins a planned stop: no further pools or servers are taken, and those
+    /// not in use are released to the next holder.
     void drain();
     /// Releases the servers without runs to the next holder, during a planned
     /// stop. Has no effect while tasks wait.
@@ -115,16 +116,18 @@
         instant since{0}; ///< no gap above `max_entry_age` from here on
         instant last{0};
     };
+    /// A server left to instances that are stopping and may have runs on it.
     struct pending_handover
     {
-        /// To the stopping holder that still uses the server.
-        std::uint64_t link = 0;
+        std::set<std::uint64_t> links; ///< to these instances
         instant until{0};
     };
 
     void on_domain_entry(const std::string& domain);
     /// Logs the held pools that have become clean, or no longer are.
     void log_clean_pools();
+    /// Removes a stopping instance from the handover of a server.
+    void end_handover(std::uint64_t link, const std::string& server);
     /// Returns whether enough is known of the other instances to claim pools.
     /// Remains true from then on.
     [[nodiscard]] bool ready_to_claim();
@@ -141,6 +144,10 @@
     /// \param fence number from the store; empty: it did not answer.
     void on_fence(const pool_id& pool, std::optional<std::uint64_t> fence);
     void hold(const pool_id& pool, std::uint64_t token);
+    /// Returns the links to the stopping instances that held the pool and have
+    /// not released the server.
+    [[nodiscard]] std::set<std::uint64_t> users_of(const std::string& server,
+                                                   const pool_id& pool) const;
     void give_up(const pool_id& pool, const std::string& reason);
     void open_session(const server_info& info, std::uint64_t token);
     void close_session(const std::string& id);
@@ -162,6 +169,9 @@
     std::map<std::string, known_server> servers;
     std::map<std::string, std::shared_ptr<server_session>> sessions;
     std::map<std::string, pending_handover> pending_handovers;
+    /// Servers that stopping instances have released, by link. A release may
+    /// arrive before the pool is taken.
+    std::map<std::uint64_t, std::set<std::string>> released_servers;
     std::map<pool_id, held_pool> held;
     std::set<pool_id> claiming;
     std::map<pool_id, instant> claim_not_before; ///< after it was given up
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -121,7 +121,7 @@
     this->add_server("s2", "d2");
     BOOST_REQUIRE(this->wait_for_servers("c", 1));
     this->nodes["a"]->node().drain();
-    BOOST_REQUIRE(this->wait([&] { return this->holds_pools("b"); }));
+    BOOST_REQUIRE(this->wait([&] { return this->holds_all_pools("b"); }));
     const instant taken = event_loop::now();
     this->wait([taken] { return event_loop::now() - taken >= seconds(2); });
     this->servers["s1"]->set_unresponsive(true);
@@ -153,6 +153,30 @@
     BOOST_TEST(this->record.violations().empty());
 }
 
+// Guards against ending the run of a stopping holder because another one that
+// stopped after it has exited.
+BOOST_AUTO_TEST_CASE(two_holders_stopped_first_keeps_its_run)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->start_node("c");
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["c"]->node().ready(); }));
+    this->start_node("b");
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["b"]->node().ready(); }));
+    this->submit("c", "0000000000000001", 1, 2000);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->nodes["a"]->node().drain();
+    BOOST_REQUIRE(this->wait([&] { return this->holds_all_pools("b"); }));
+    this->nodes["b"]->node().drain();
+    BOOST_REQUIRE(this->wait([&] { return this->holds_all_pools("c"); }));
+    this->nodes.erase("b");
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 1);
+}
+
 // The answer to a start is lost; the poll reply shows the run.
 BOOST_AUTO_TEST_CASE(start_answer_lost_task_runs_once)
 {
--- a/tests/unit/dispatch/node_fixture.cpp
+++ b/tests/unit/dispatch/node_fixture.cpp
@@ -110,10 +110,10 @@
         });
 }
 
-bool node_fixture::holds_pools(const std::string& name)
+bool node_fixture::holds_all_pools(const std::string& name)
 {
     const auto state = nlohmann::json::parse(this->nodes[name]->node().dump());
-    return !state["pools"].empty();
+    return state["pools"].size() == pools_per_domain;
 }
 
 void node_fixture::submit(const std::string& node, const std::string& job,
--- a/tests/unit/dispatch/node_fixture.hpp
+++ b/tests/unit/dispatch/node_fixture.hpp
@@ -42,8 +42,8 @@
     void write_entry(const std::string& id);
     /// Waits until the instance holds at least this many reachable servers.
     bool wait_for_servers(const std::string& name, std::size_t count);
-    /// Returns whether the instance holds a pool.
-    [[nodiscard]] bool holds_pools(const std::string& name);
+    /// Returns whether the instance holds all pools of a failure domain.
+    [[nodiscard]] bool holds_all_pools(const std::string& name);
     /// Submits a job whose tasks run for `run_ms`; its result is recorded.
     void submit(const std::string& node, const std::string& job,
                 std::uint32_t tasks, int run_ms,
