--- a/src/libruntime/node/peer_mesh.cpp
+++ b/src/libruntime/node/peer_mesh.cpp
@@ -370,6 +370,10 @@
 
 void peer_mesh::dial(known_member& member)
 {
+    if (this->stopped)
+    {
+        return;
+    }
     member.next_dial = event_loop::now() + dial_interval;
     boost::system::error_code error;
     const auto address = asio::ip::make_address(member.record.address, error);
@@ -616,6 +620,7 @@
 
 void peer_mesh::stop()
 {
+    this->stopped = true;
     boost::system::error_code ignored;
     this->acceptor.close(ignored);
     for (const auto& [number, each] : this->links)
--- a/src/libruntime/node/peer_mesh.hpp
+++ b/src/libruntime/node/peer_mesh.hpp
@@ -158,6 +158,7 @@
     /// Encoded `own_heartbeat` by announced interval.
     std::map<milliseconds, std::string> heartbeat_frames;
     bool ran_before = false;
+    bool stopped = false;
     std::uint64_t next_link = 1;
     instant started;
 };
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -1,6 +1,7 @@
 #include "node_fixture.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 namespace jujubedrum
 {
@@ -177,6 +178,30 @@
     BOOST_TEST(this->record.total_starts() == 1);
 }
 
+// Guards against counting an instance that has stopped as a live holder, since
+// it connected to the others again before its process ended.
+BOOST_AUTO_TEST_CASE(instance_stopped_not_linked_again)
+{
+    this->start_node("a");
+    this->start_node("b");
+    const auto peers_of_b = [this]
+    {
+        const auto state =
+            nlohmann::json::parse(this->nodes["b"]->node().dump());
+        return state["peers"].size();
+    };
+    BOOST_REQUIRE(this->wait([&] { return peers_of_b() == 1; }));
+    this->nodes["a"]->node().stop();
+    BOOST_REQUIRE(this->wait([&] { return peers_of_b() == 0; }));
+    const instant stopped = event_loop::now();
+    this->wait(
+        [&] {
+            return peers_of_b() > 0 ||
+                   event_loop::now() - stopped >= seconds(2);
+        });
+    BOOST_TEST(peers_of_b() == 0U);
+}
+
 // The answer to a start is lost; the poll reply shows the run.
 BOOST_AUTO_TEST_CASE(start_answer_lost_task_runs_once)
 {
