Keep links with open jobs prioritized

What callers could see: a job whose accepting instance loses power, or is cut off, runs on at its holder for up to 7 s, while the caller sends the job again after 1.3 s and another holder starts it from the beginning (TWICE).

Cause: a link was prioritized only for 2 s after its last message about a job. From then on the accepting instance announced up to 2 s until its next heartbeat, and the holder counts it as dead after 3.5 times that. A job sent over an idle link ran under the long interval until the next tick. With more than 100 peers even the interval of prioritized links led to more than 1.3 s (1 s, 3.5 s until dead).

Change: a link over which a job was sent that has not ended is prioritized, in both directions, and its interval is at most 250 ms at any number of peers: 3.5 intervals, 100 ms until the next check of the links, two stop requests of 65 ms and 50 ms for the stop are 1.16 s. The heartbeat that announces the shorter interval is sent before the job over the same connection, so that the holder never has a job under the long one.

Evidence, on the code before (30 peers): dispatch_node_test.cpp: error: in "accepting_instance_job_open_holder_ gets_short_interval": check holder.interval_at_submission() <= max_open_job_interval has failed; the same for holder.announced_interval() 3 s later; and in "holder_job_open_ accepting_instance_gets_short_interval" for accepting.announced_interval(). They pass with this change, as do the suites of the dispatcher, the node and the heartbeat timing.

Ruled out: a shorter limit at the holder alone. It would close links to instances that keep to their announced interval.

Not covered: a dead accepting instance and a server that gets no stops, both at once. Detection, the limit of an unconfirmed stop and a lease together exceed 1.3 s.

--- a/src/libjujubedrum/dispatch/heartbeat_timing.hpp
+++ b/src/libjujubedrum/dispatch/heartbeat_timing.hpp
@@ -15,6 +15,8 @@
     /// over from the other, or jobs were sent over the link recently.
     bool prioritized = false;
     std::size_t peers = 0; ///< number of links of the instance
+    /// Jobs were sent over the link, in either direction, that have not ended.
+    bool has_open_jobs = false;
 
     bool operator==(const link_state&) const = default;
 };
@@ -23,7 +25,8 @@
 /// heartbeat carries the time until the next one, so that both ends agree. The
 /// interval grows with the number of instances, most on links that are not
 /// prioritized, so that the cost of heartbeats for an instance stays about the
-/// same.
+/// same. On a link with open jobs it stays below a bound, so that the tasks of
+/// a dead accepting instance are stopped before its callers' next attempts.
 class heartbeat_timing
 {
 public:
--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -724,6 +724,19 @@
     return at != this->servers.end() && !at->second.runs.empty();
 }
 
+std::set<std::uint64_t> pool_dispatcher::open_job_origins() const
+{
+    std::set<std::uint64_t> origins;
+    for (const auto& [id, job] : this->jobs)
+    {
+        if (!job->answered)
+        {
+            origins.insert(job->origin.instance);
+        }
+    }
+    return origins;
+}
+
 dispatch_load pool_dispatcher::load(instant now) const
 {
     dispatch_load result = this->meter.measure(this->servers, now);
--- a/src/libjujubedrum/dispatch/pool_dispatcher.hpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.hpp
@@ -104,6 +104,8 @@
                                const run_id& run) const;
     /// Returns whether any run of the dispatcher's jobs may be on the server.
     [[nodiscard]] bool has_runs(const std::string& server) const;
+    /// Returns the instances that wait for the result of an open job.
+    [[nodiscard]] std::set<std::uint64_t> open_job_origins() const;
     [[nodiscard]] dispatch_load load(instant now) const;
     [[nodiscard]] bool idle() const { return this->jobs.empty(); }
     [[nodiscard]] std::size_t open_jobs() const { return this->jobs.size(); }
--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -236,6 +236,13 @@
     this->pools.elect();
 }
 
+std::set<std::uint64_t> dispatch_node::links_with_open_jobs() const
+{
+    std::set<std::uint64_t> links = this->dispatcher.open_job_origins();
+    links.merge(this->router.links_with_open_jobs());
+    return links;
+}
+
 void dispatch_node::on_configuration(route_document document)
 {
     const std::uint64_t version = document.version;
--- a/src/libruntime/node/dispatch_node.hpp
+++ b/src/libruntime/node/dispatch_node.hpp
@@ -76,6 +76,7 @@
     void on_link_closed(std::uint64_t link, const std::string& name,
                         const std::string& reason) override;
     void on_peer_failed(const std::string& name) override;
+    [[nodiscard]] std::set<std::uint64_t> links_with_open_jobs() const override;
     // store_listener
     void on_configuration(route_document document) override;
     void on_servers(const std::vector<server_change>& changes) override;
--- a/src/libruntime/node/job_router.cpp
+++ b/src/libruntime/node/job_router.cpp
@@ -113,6 +113,16 @@
     }
 }
 
+std::set<std::uint64_t> job_router::links_with_open_jobs() const
+{
+    std::set<std::uint64_t> links;
+    for (const auto& [ticket, job] : this->open_jobs)
+    {
+        links.insert(job.link);
+    }
+    return links;
+}
+
 void job_router::write_metrics(metrics_registry& registry) const
 {
     registry.set_gauge("open_jobs",
--- a/src/libruntime/node/job_router.hpp
+++ b/src/libruntime/node/job_router.hpp
@@ -61,6 +61,8 @@
     /// reconnected without a restart.
     void resubmit_orphaned_jobs(const instance_view& self);
 
+    /// Returns the links to holders of open jobs.
+    [[nodiscard]] std::set<std::uint64_t> links_with_open_jobs() const;
     [[nodiscard]] std::size_t open() const { return this->open_jobs.size(); }
     void write_metrics(metrics_registry& registry) const;
 
--- a/src/libruntime/node/peer_mesh.cpp
+++ b/src/libruntime/node/peer_mesh.cpp
@@ -289,7 +289,7 @@
     const bool busy = event_loop::now() - peer.last_job < recent_traffic_window;
     return heartbeat_timing::interval(
         {!this->own_heartbeat.instance.holds.empty(), same_domain || busy,
-         this->peers.size()});
+         this->peers.size(), peer.has_open_jobs});
 }
 
 void peer_mesh::send_heartbeat(std::uint64_t number, peer_state& peer)
@@ -335,6 +335,24 @@
     }
 }
 
+void peer_mesh::on_job_message(peer_state& peer,
+                               const dispatch_message& message)
+{
+    peer.last_job = event_loop::now();
+    peer.has_open_jobs =
+        peer.has_open_jobs || std::holds_alternative<submit_message>(message);
+}
+
+void peer_mesh::update_open_jobs()
+{
+    const std::set<std::uint64_t> with_open_jobs =
+        this->listener.links_with_open_jobs();
+    for (auto& [number, peer] : this->peers)
+    {
+        peer.has_open_jobs = with_open_jobs.count(number) > 0;
+    }
+}
+
 void peer_mesh::on_members(const std::vector<member_record>& announced)
 {
     const instant now = event_loop::now();
@@ -406,6 +424,7 @@
 {
     this->close_timed_out_links();
     this->dial_missing_members();
+    this->update_open_jobs();
     this->send_due_heartbeats();
     this->loop.after(tick_interval, [this] { this->on_tick(); });
 }
@@ -458,7 +477,7 @@
         if (at != this->peers.end())
         {
             at->second.last_received = event_loop::now();
-            at->second.last_job = at->second.last_received;
+            on_job_message(at->second, message);
             this->listener.on_message(number, message);
         }
         return;
@@ -541,16 +560,23 @@
 
 bool peer_mesh::send(std::uint64_t number, const dispatch_message& message)
 {
+    const auto peer = this->peers.find(number);
+    if (peer != this->peers.end())
+    {
+        on_job_message(peer->second, message);
+        // A holder gets the shorter interval before the job. Otherwise it would
+        // notice the loss of this instance late until the next tick.
+        if (this->heartbeat_interval_to(peer->second) <
+            peer->second.announced_interval)
+        {
+            this->send_heartbeat(number, peer->second);
+        }
+    }
     const auto at = this->links.find(number);
     if (at == this->links.end() || at->second->is_closed())
     {
         return false;
     }
-    const auto peer = this->peers.find(number);
-    if (peer != this->peers.end())
-    {
-        peer->second.last_job = event_loop::now();
-    }
     at->second->send(encode_frame(message));
     return true;
 }
--- a/src/libruntime/node/peer_mesh.hpp
+++ b/src/libruntime/node/peer_mesh.hpp
@@ -45,6 +45,10 @@
                                 const std::string& reason) = 0;
     /// An instance did not reconnect in time after its link was reset.
     virtual void on_peer_failed(const std::string& name) = 0;
+    /// Returns the links over which jobs were sent, in either direction, that
+    /// have not ended.
+    [[nodiscard]] virtual std::set<std::uint64_t>
+    links_with_open_jobs() const = 0;
 };
 
 /// Links to all other instances, usually one TCP connection per pair. A link is
@@ -113,7 +117,8 @@
         instant next_heartbeat{0}; ///< when the next one to the peer is due
         /// Interval in the last heartbeat to the peer.
         milliseconds announced_interval{0};
-        instant last_job{0}; ///< last message about a job, either way
+        instant last_job{0};        ///< last message about a job, either way
+        bool has_open_jobs = false; ///< in either direction
     };
 
     /// An instance whose link was reset and that may reconnect until a time.
@@ -138,6 +143,10 @@
     /// become shorter than the announced one.
     void send_due_heartbeats();
     void send_heartbeat(std::uint64_t number, peer_state& peer);
+    /// Updates the peer's state for a message about a job, sent or received.
+    static void on_job_message(peer_state& peer,
+                               const dispatch_message& message);
+    void update_open_jobs();
     [[nodiscard]] milliseconds
     heartbeat_interval_to(const peer_state& peer) const;
     /// Returns the encoded heartbeat that announces the interval.
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -1,10 +1,25 @@
 #include "node_fixture.hpp"
+#include "peer_standin.hpp"
+
+#include <algorithm>
+#include <list>
 
 #include <boost/test/unit_test.hpp>
 
 namespace jujubedrum
 {
 
+namespace
+{
+
+/// Enough peers for the intervals of links without jobs to grow.
+constexpr int many_peers = 30;
+/// 3.5 times this is 875 ms, so that tasks are stopped before the next attempt
+/// of a caller, 1.3 s after the failed one.
+constexpr milliseconds max_open_job_interval{250};
+
+} // namespace
+
 BOOST_FIXTURE_TEST_SUITE(dispatch_node_suite, node_fixture)
 
 BOOST_AUTO_TEST_CASE(job_at_any_instance_completes)
@@ -310,6 +325,64 @@
     BOOST_CHECK(event_loop::now() - healed >= seconds(5));
 }
 
+// Guards against tasks that outlive a caller's attempt: an accepting instance
+// that lost power was noticed only after 3.5 times up to 2 s, if its job had
+// been running for longer than 2 s.
+BOOST_AUTO_TEST_CASE(accepting_instance_job_open_holder_gets_short_interval)
+{
+    this->start_node("a");
+    std::list<peer_standin> peers;
+    for (int i = 1; i < many_peers; ++i)
+    {
+        peers.emplace_back(this->loop, "p" + std::to_string(i),
+                           this->member_of("a"), std::vector<pool_hold>{});
+    }
+    peer_standin& holder =
+        peers.emplace_back(this->loop, "holder", this->member_of("a"),
+                           std::vector<pool_hold>{{{"d9", 0}, 1024, true}});
+    BOOST_REQUIRE(this->wait(
+        [&]
+        {
+            return std::all_of(peers.begin(), peers.end(),
+                               [](const peer_standin& each)
+                               { return each.linked(); }) &&
+                   holder.announced_interval() > seconds(1);
+        }));
+    this->submit("a", "0000000000000001", 1, 6000);
+    BOOST_REQUIRE(this->wait([&] { return !holder.submissions().empty(); }));
+    BOOST_CHECK(holder.interval_at_submission() <= max_open_job_interval);
+    this->pass(peer_mesh::recent_traffic_window + seconds(1));
+    BOOST_CHECK(holder.announced_interval() <= max_open_job_interval);
+    holder.send(result_message{holder.submissions().front().ticket,
+                               {job_outcome::completed, "", milliseconds(0)},
+                               {}});
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(
+        this->wait([&] { return holder.announced_interval() > seconds(1); }));
+}
+
+// Guards against a job that waits 3.5 s for its holder to count as dead.
+BOOST_AUTO_TEST_CASE(holder_job_open_accepting_instance_gets_short_interval)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    std::list<peer_standin> peers;
+    for (int i = 0; i < many_peers; ++i)
+    {
+        peers.emplace_back(this->loop, "p" + std::to_string(i),
+                           this->member_of("a"), std::vector<pool_hold>{});
+    }
+    peer_standin& accepting = peers.back();
+    BOOST_REQUIRE(this->wait(
+        [&]
+        { return accepting.announced_interval() > max_open_job_interval; }));
+    accepting.send(this->submission_of("0000000000000001", 5000));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->pass(peer_mesh::recent_traffic_window + seconds(1));
+    BOOST_CHECK(accepting.announced_interval() <= max_open_job_interval);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubedrum
--- a/tests/unit/dispatch/heartbeat_timing_test.cpp
+++ b/tests/unit/dispatch/heartbeat_timing_test.cpp
@@ -10,6 +10,10 @@
 
 /// Time between a caller's failed attempt and its next one.
 constexpr milliseconds next_attempt_delay{1300};
+/// Time until a dead link is closed.
+constexpr milliseconds link_check_interval{100};
+/// Two stop requests of which the first is lost, and the stop itself.
+constexpr milliseconds max_stop_time{2 * 65 + 50};
 
 double heartbeats_per_second(bool holds_pools, std::size_t prioritized,
                              std::size_t regular)
@@ -40,6 +44,22 @@
     }
 }
 
+// Guards against tasks that outlive a caller's attempt in a large cluster.
+BOOST_AUTO_TEST_CASE(any_size_link_with_open_jobs_dead_before_next_attempt)
+{
+    for (const bool holds_pools : {false, true})
+    {
+        for (std::size_t peers = 0; peers < 1000; peers += 7)
+        {
+            const auto interval =
+                heartbeat_timing::interval({holds_pools, false, peers, true});
+            BOOST_TEST((heartbeat_timing::dead_timeout(interval) +
+                            link_check_interval + max_stop_time <
+                        next_attempt_delay));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(holder_unanswered_suspect_before_dead)
 {
     for (const std::size_t peers : {2, 40, 300})
--- a/tests/unit/dispatch/node_fixture.cpp
+++ b/tests/unit/dispatch/node_fixture.cpp
@@ -110,28 +110,48 @@
         });
 }
 
-void node_fixture::submit(const std::string& node, const std::string& job,
-                          std::uint32_t tasks, int run_ms,
-                          milliseconds time_left)
+submit_message node_fixture::submission_of(const std::string& job, int run_ms,
+                                           std::uint32_t tasks,
+                                           milliseconds time_left)
 {
-    job_request request;
-    request.id = job;
-    request.payload = std::to_string(run_ms) + " ms";
+    submit_message message;
+    message.ticket = 1;
+    message.request.id = job;
+    message.request.payload = std::to_string(run_ms) + " ms";
     job_step step;
     step.count = tasks;
     step.demand = {6800, 64, 0};
     step.estimate = milliseconds(run_ms);
-    request.steps.push_back(step);
-    job_terms terms;
-    terms.service = "service";
-    terms.max_attempts = 3;
-    terms.stretch = 4;
-    terms.target = milliseconds(2000);
-    terms.time_left = time_left;
-    this->record.expect(job, request.payload);
-    this->nodes[node]->node().submit(request, terms,
-                                     [this, job](const job_result& result)
-                                     { this->results[job] = result; });
+    message.request.steps.push_back(step);
+    message.terms.service = "service";
+    message.terms.max_attempts = 3;
+    message.terms.stretch = 4;
+    message.terms.target = milliseconds(2000);
+    message.terms.time_left = time_left;
+    this->record.expect(job, message.request.payload);
+    return message;
+}
+
+std::uint64_t node_fixture::submit(const std::string& node,
+                                   const std::string& job, std::uint32_t tasks,
+                                   int run_ms, milliseconds time_left)
+{
+    const submit_message message =
+        this->submission_of(job, run_ms, tasks, time_left);
+    return this->nodes[node]->node().submit(
+        message.request, message.terms,
+        [this, job](const job_result& result) { this->results[job] = result; });
+}
+
+member_record node_fixture::member_of(const std::string& name)
+{
+    return {name, "127.0.0.1", this->peer_ports[name], 1, "d1", 1000};
+}
+
+void node_fixture::pass(milliseconds time)
+{
+    const instant until = event_loop::now() + time;
+    this->wait([until] { return event_loop::now() >= until; });
 }
 
 bool node_fixture::wait_for(const std::string& job)
--- a/tests/unit/dispatch/node_fixture.hpp
+++ b/tests/unit/dispatch/node_fixture.hpp
@@ -43,12 +43,22 @@
     /// Waits until the instance holds at least this many reachable servers.
     bool wait_for_servers(const std::string& name, std::size_t count);
     /// Submits a job whose tasks run for `run_ms`; its result is recorded.
-    void submit(const std::string& node, const std::string& job,
-                std::uint32_t tasks, int run_ms,
-                milliseconds time_left = milliseconds(8000));
+    /// Returns the job's ticket.
+    std::uint64_t submit(const std::string& node, const std::string& job,
+                         std::uint32_t tasks, int run_ms,
+                         milliseconds time_left = milliseconds(8000));
+    /// Returns the message that submits such a job over a link.
+    submit_message submission_of(const std::string& job, int run_ms,
+                                 std::uint32_t tasks = 1,
+                                 milliseconds time_left = milliseconds(8000));
     bool wait_for(const std::string& job);
     bool wait(const std::function<bool()>& condition);
     [[nodiscard]] std::size_t servers_of(const std::string& name);
+    /// Returns the announcement of an instance for peers that do not read the
+    /// store.
+    [[nodiscard]] member_record member_of(const std::string& name);
+    /// Waits for the time, for what has to stay as it is.
+    void pass(milliseconds time);
 
     event_loop loop;
     log_store_standin store{loop};
--- /dev/null
+++ b/tests/unit/dispatch/peer_standin.cpp
@@ -0,0 +1,70 @@
+#include "peer_standin.hpp"
+
+#include "users/free_port.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+/// Failure domain of the stand-ins, so that their links are not prioritized.
+constexpr const char* other_domain = "d9";
+constexpr std::uint64_t free_cpu = 64000;
+
+} // namespace
+
+peer_standin::peer_standin(event_loop& loop, const std::string& name,
+                           const member_record& tested,
+                           std::vector<pool_hold> holds)
+    : mesh(loop, {name, "127.0.0.1", 0, 1, other_domain, 1000}, *this)
+{
+    const std::uint64_t cpu = holds.empty() ? 0 : free_cpu;
+    this->mesh.set_heartbeat(
+        {{name, 1, other_domain, 1000, false, std::move(holds)},
+         {cpu, cpu, 0, 1},
+         milliseconds(0)});
+    BOOST_REQUIRE(this->mesh.listen("127.0.0.1", free_port(loop, "127.0.0.1")));
+    this->mesh.on_members({tested});
+}
+
+void peer_standin::send(const dispatch_message& message)
+{
+    BOOST_REQUIRE(this->link);
+    this->mesh.send(*this->link, message);
+}
+
+void peer_standin::on_heartbeat(std::uint64_t number,
+                                const heartbeat_message& heartbeat)
+{
+    this->link = number;
+    this->last_interval = heartbeat.interval;
+}
+
+void peer_standin::on_message(std::uint64_t, const dispatch_message& message)
+{
+    if (const auto* submitted = std::get_if<submit_message>(&message))
+    {
+        if (this->received.empty())
+        {
+            this->submission_interval = this->last_interval;
+        }
+        this->received.push_back(*submitted);
+    }
+    if (const auto* ended = std::get_if<result_message>(&message))
+    {
+        this->received_results.push_back(*ended);
+    }
+}
+
+void peer_standin::on_link_closed(std::uint64_t, const std::string&,
+                                  const std::string&)
+{
+    this->link.reset();
+}
+
+void peer_standin::on_peer_failed(const std::string&) {}
+
+} // namespace jujubedrum
--- /dev/null
+++ b/tests/unit/dispatch/peer_standin.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "node/peer_mesh.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jujubedrum
+{
+
+/// Stand-in for a peer of the instance under test: links to it, and records
+/// what arrives.
+class peer_standin : public mesh_listener
+{
+public:
+    /// \param holds sent in the heartbeats; a peer that holds pools also
+    /// announces free capacity.
+    peer_standin(event_loop& loop, const std::string& name,
+                 const member_record& tested, std::vector<pool_hold> holds);
+
+    /// Returns whether a heartbeat of the instance under test has arrived.
+    [[nodiscard]] bool linked() const { return this->link.has_value(); }
+    /// Returns the interval in the last heartbeat.
+    [[nodiscard]] milliseconds announced_interval() const
+    {
+        return this->last_interval;
+    }
+    /// Returns the jobs submitted over the link, in order of arrival.
+    [[nodiscard]] const std::vector<submit_message>& submissions() const
+    {
+        return this->received;
+    }
+    /// Returns the interval announced by the last heartbeat before the first
+    /// submission.
+    [[nodiscard]] milliseconds interval_at_submission() const
+    {
+        return this->submission_interval;
+    }
+    /// Returns the results that arrived, in order of arrival.
+    [[nodiscard]] const std::vector<result_message>& results() const
+    {
+        return this->received_results;
+    }
+    /// Sends a message. Requires a link.
+    void send(const dispatch_message& message);
+
+    void on_heartbeat(std::uint64_t number,
+                      const heartbeat_message& heartbeat) override;
+    void on_message(std::uint64_t number,
+                    const dispatch_message& message) override;
+    void on_link_closed(std::uint64_t number, const std::string& name,
+                        const std::string& reason) override;
+    void on_peer_failed(const std::string& name) override;
+    [[nodiscard]] std::set<std::uint64_t> links_with_open_jobs() const override
+    {
+        return {};
+    }
+
+private:
+    peer_mesh mesh;
+    std::optional<std::uint64_t> link;
+    milliseconds last_interval{0};
+    milliseconds submission_interval{0};
+    std::vector<submit_message> received;
+    std::vector<result_message> received_results;
+};
+
+} // namespace jujubedrum
