Let a run that cannot be stopped end with its lease

What callers could see: two runs of a task at the same time (TWICE). A job was answered 504, or its caller left, and its run stayed on a server that got no stop request, for as long as that lasted. The caller sent the job again after 1.3 s and another holder started it.

Cause: a stop without answer was repeated, but the polls of that server, which were answered, went on to renew the lease of everything there. Starts of other tasks prolong it as well.

Change: once a stop has been neither confirmed nor its run gone from the poll replies for 150 ms, polls of that server carry no renewal and it gets no starts until that is over. 150 ms cover two stop requests (60 ms each and 5 ms between); with the lease of 1 s and 60 ms for clocks that are 2 % slow the run ends within 1.21 s of the first request. A static assertion compares this with 1.3 s.

Cost: if stops are lost for the whole lease, the other runs on that server end as well and start again. If they are lost for less, only starts are held back; a test keeps another run through four lost stops.

Evidence, on the code before: dispatch_node_test.cpp(184): error: in "stops_lost_cancelled_run_ends_ with_its_lease": check this->wait([&] { return !this->record.runs( ""); }) has failed (after 20 s) dispatch_node_test.cpp(200): error: in "stops_lost_starts_do_not_ prolong_cancelled_run": the same check has failed The second fails also with the change of polls alone, without the hold on starts. All pass now.

The test fixture destroyed its results before its instances, which answer open jobs when they stop; that corrupted the heap in the new tests.

Ruled out: a server that answers neither stops nor polls. Polls stop to renew after 200 ms there already.

--- a/src/libruntime/node/server_session.cpp
+++ b/src/libruntime/node/server_session.cpp
@@ -17,6 +17,15 @@
 constexpr milliseconds stop_backoff{50};
 /// Servers' clocks may be slow by 2 %, and requests take time to arrive.
 constexpr milliseconds lease_slack{60};
+/// A caller whose attempt failed tries again after this time, at any instance.
+constexpr milliseconds min_next_attempt_delay{1300};
+/// After a stop has been neither confirmed nor shown by a poll reply for this
+/// time, the run is left to end with its lease. Within it, two stop requests
+/// are answered or time out.
+constexpr milliseconds max_unresolved_stop{150};
+static_assert(max_unresolved_stop + lease_options{}.max_lease + lease_slack <
+                  min_next_attempt_delay,
+              "a run that has to end must not overlap the next attempt");
 /// Poll interval during the takeover of a server.
 constexpr milliseconds takeover_poll_interval{20};
 
@@ -77,9 +86,11 @@
     request.acknowledged = this->acknowledged;
     request.wait = wait;
     // A server that timed out may not come back. Its tasks can run elsewhere
-    // only after its lease has expired, so polls do not renew the lease.
+    // only after its lease has expired, so polls do not renew the lease. The
+    // same holds for a run that cannot be stopped.
     if (this->attached && this->clock_offset &&
-        !this->schedule.timed_out(event_loop::now()))
+        !this->schedule.timed_out(event_loop::now()) &&
+        !this->has_unresolved_stop(event_loop::now()))
     {
         request.lease_until = this->server_now() + this->options.max_lease;
         this->extend_lease_end(event_loop::now() + this->options.max_lease);
@@ -200,7 +211,10 @@
     }
     if (this->attached)
     {
-        this->set_reachable(true, "listed");
+        // A start would prolong the lease of the run that has to end.
+        const bool unresolved = this->has_unresolved_stop(now);
+        this->set_reachable(!unresolved,
+                            unresolved ? "stop not confirmed" : "listed");
     }
 }
 
@@ -301,9 +315,20 @@
 
 void server_session::stop(const run_id& run)
 {
+    this->open_stops.emplace(run, event_loop::now());
     this->stop(run, first_stop_backoff);
 }
 
+bool server_session::has_unresolved_stop(instant now)
+{
+    std::erase_if(
+        this->open_stops, [this](const auto& entry)
+        { return !this->dispatcher.has_run(this->id_value, entry.first); });
+    return std::any_of(this->open_stops.begin(), this->open_stops.end(),
+                       [now](const auto& entry)
+                       { return now - entry.second >= max_unresolved_stop; });
+}
+
 void server_session::stop(const run_id& run, milliseconds backoff)
 {
     if (this->ended)
@@ -320,6 +345,7 @@
             }
             if (confirmed)
             {
+                self->open_stops.erase(run);
                 self->dispatcher.on_stopped(self->id_value, run,
                                             event_loop::now());
                 return;
--- a/src/libruntime/node/server_session.hpp
+++ b/src/libruntime/node/server_session.hpp
@@ -6,6 +6,7 @@
 #include "node/platform_ports.hpp"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -68,6 +69,9 @@
     /// \param backoff before the request is repeated if the server does not
     /// confirm it.
     void stop(const run_id& run, milliseconds backoff);
+    /// Returns whether a run that has to end may go on because its stop was not
+    /// confirmed in time. The lease of the server is not renewed then.
+    bool has_unresolved_stop(instant now);
     void on_poll_reply(const poll_reply& reply, instant polled_at,
                        bool is_regular);
     /// Resets the acknowledged number and the clock offset after a restart.
@@ -99,6 +103,9 @@
     std::optional<microseconds> clock_offset;
     instant lease_end{0}; ///< no run of this instance is left after this
     poll_schedule schedule;
+    /// When the stop of a run was first requested, until it is confirmed or the
+    /// run has ended.
+    std::map<run_id, instant> open_stops;
 };
 
 } // namespace jujubedrum
--- a/standins/users/task_server_standin.cpp
+++ b/standins/users/task_server_standin.cpp
@@ -65,6 +65,13 @@
     return at == this->starts_by_job.end() ? 0 : at->second;
 }
 
+bool run_recorder::runs(const std::string& job) const
+{
+    return std::any_of(this->running.begin(), this->running.end(),
+                       [&job](const auto& entry)
+                       { return job_of(entry.first) == job; });
+}
+
 void run_recorder::expect(const std::string& job, const std::string& payload)
 {
     this->expected[job] = payload;
--- a/standins/users/task_server_standin.hpp
+++ b/standins/users/task_server_standin.hpp
@@ -27,6 +27,8 @@
     }
     /// Returns the number of starts of the job's tasks.
     [[nodiscard]] std::uint64_t starts_of(const std::string& job) const;
+    /// Returns whether a task of the job runs on any server.
+    [[nodiscard]] bool runs(const std::string& job) const;
     [[nodiscard]] std::uint64_t total_starts() const { return this->starts; }
     /// Sets the payload that tasks of a job must be started with. Starts with
     /// another payload, or of a job without one, are violations.
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -2,6 +2,7 @@
 #include "peer_standin.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <list>
 
 #include <boost/test/unit_test.hpp>
@@ -169,6 +170,64 @@
     BOOST_TEST(this->record.violations().empty());
 }
 
+// Guards against polls that renew the lease of a run which has to end: its
+// job's caller may submit it again elsewhere.
+BOOST_AUTO_TEST_CASE(stops_lost_cancelled_run_ends_with_its_lease)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->submit("a", "0000000000000001", 1, 60000, seconds(60));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->servers["s1"]->drop_stop_requests(std::numeric_limits<int>::max());
+    this->nodes["a"]->node().cancel("0000000000000001");
+    BOOST_CHECK(
+        this->wait([&] { return !this->record.runs("0000000000000001"); }));
+}
+
+// Guards against starts that prolong the lease of such a run.
+BOOST_AUTO_TEST_CASE(stops_lost_starts_do_not_prolong_cancelled_run)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->submit("a", "0000000000000001", 1, 60000, seconds(60));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->servers["s1"]->drop_stop_requests(std::numeric_limits<int>::max());
+    this->nodes["a"]->node().cancel("0000000000000001");
+    instant next_job = event_loop::now();
+    std::uint64_t jobs = 1;
+    BOOST_CHECK(this->wait(
+        [&]
+        {
+            if (event_loop::now() >= next_job)
+            {
+                next_job = event_loop::now() + milliseconds(50);
+                this->submit("a", "000000000000000x" + std::to_string(++jobs),
+                             1, 10);
+            }
+            return !this->record.runs("0000000000000001");
+        }));
+}
+
+// Guards against ending the other runs on a server for a short loss of stops.
+BOOST_AUTO_TEST_CASE(stops_lost_for_a_while_other_runs_kept)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->submit("a", "0000000000000001", 1, 60000, seconds(60));
+    this->submit("a", "0000000000000002", 1, 2500);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 2; }));
+    this->servers["s1"]->drop_stop_requests(4);
+    this->nodes["a"]->node().cancel("0000000000000001");
+    BOOST_REQUIRE(this->wait_for("0000000000000002"));
+    BOOST_CHECK(this->results["0000000000000002"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.starts_of("0000000000000002") == 1);
+    BOOST_TEST(!this->record.runs("0000000000000001"));
+}
+
 BOOST_AUTO_TEST_CASE(server_crashed_task_runs_elsewhere)
 {
     this->add_server("s1");
--- a/tests/unit/dispatch/node_fixture.hpp
+++ b/tests/unit/dispatch/node_fixture.hpp
@@ -65,8 +65,9 @@
     run_recorder record;
     std::map<std::string, std::unique_ptr<task_server_standin>> servers;
     std::map<std::string, std::string> domains;
-    std::map<std::string, std::unique_ptr<node_under_test>> nodes;
+    /// Declared before the instances, which answer open jobs when they stop.
     std::map<std::string, job_result> results;
+    std::map<std::string, std::unique_ptr<node_under_test>> nodes;
 
 private:
     void refresh_entries();
