Never refuse a job that has runs of an earlier attempt

What callers could see: two runs of a task at the same time (TWICE), or 503, which says that the job never runs, while tasks of it run.

Cause: a caller's next attempt reopens a job whose runs are still being stopped, and the count of starts begins anew. If the job then found no server, a queue that was too long, or its time over, it ended as refused. The router of the accepting instance sends a refused job to another holder at once, while the first one waits for the end of its runs.

Change: `finish`, which all ends pass through, turns refused into incomplete if the job has started a task or has runs on servers. The caller gets 504 and no other holder is tried. Its next attempt comes after 1.3 s, by which the runs have been stopped or their lease has ended (1.21 s after the stop). To keep the job until its runs are gone and refuse it then would save an attempt only if the stop is confirmed at once. Otherwise the caller waits for a refusal for up to a second.

Evidence, on the code before (four ways to a refusal): pool_dispatcher_test.cpp(177): error: in "resubmission_old_run_ stopping_busy_not_refused": check this->result_of(2)->outcome == job_outcome::incomplete has failed (190) the same in "..._no_server_not_refused", (203) in "..._too_late_not_refused", (216) in "..._out_of_time_not_refused" All pass now.

Ruled out: the router. It turns a refusal into incomplete if a link to a holder closed with the job, gives a job of a reconnected holder to that holder alone, and waits for clean pools before it tries others.

--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -565,6 +565,13 @@
     this->dequeue(job);
     this->deadlines.erase({job.deadline, job.request.id});
     job.answered = true;
+    // A refused job is given to another holder at once, which must not start it
+    // while runs are left here, be they those of an earlier attempt.
+    if (outcome == job_outcome::refused &&
+        (job.starts > 0 || job.on_servers > 0))
+    {
+        outcome = job_outcome::incomplete;
+    }
     for (std::uint32_t step = 0; step < job.tasks.size(); ++step)
     {
         for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index)
@@ -624,10 +631,8 @@
             continue;
         }
         pooled_job& job = *at->second;
-        const bool never_started = job.starts == 0;
-        this->finish(
-            job, never_started ? job_outcome::refused : job_outcome::incomplete,
-            "out of time", min_retry_after, now);
+        this->finish(job, job_outcome::refused, "out of time", min_retry_after,
+                     now);
     }
 }
 
--- a/src/libjujubedrum/dispatch/pool_dispatcher.hpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.hpp
@@ -130,6 +130,9 @@
     void on_done(const task_ref& ref, instant now);
     void on_failure(const task_ref& ref, instant now);
     void check_overdue(const std::string& id, held_server& server, instant now);
+    /// Reports the result of a job and stops its runs. A job of which a task
+    /// may have started, or that has runs of an earlier attempt, ends as
+    /// incomplete rather than refused.
     void finish(pooled_job& job, job_outcome outcome, std::string reason,
                 milliseconds retry_after, instant now);
     void erase_if_finished(pooled_job& job);
--- a/tests/unit/dispatch/dispatch_fixture.cpp
+++ b/tests/unit/dispatch/dispatch_fixture.cpp
@@ -70,6 +70,19 @@
     this->dispatcher.submit(job, make_terms(), {0, ticket}, this->now);
 }
 
+std::optional<job_result>
+dispatch_fixture::result_of(std::uint64_t ticket) const
+{
+    for (const ended_job& each : this->ended)
+    {
+        if (each.origin.ticket == ticket)
+        {
+            return each.result;
+        }
+    }
+    return std::nullopt;
+}
+
 void dispatch_fixture::accept_all()
 {
     for (const auto& [server, run] : this->starts)
--- a/tests/unit/dispatch/dispatch_fixture.hpp
+++ b/tests/unit/dispatch/dispatch_fixture.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -37,6 +38,9 @@
                                 std::uint32_t cpu = 6800);
     static job_terms make_terms();
     void submit(const job_request& job, std::uint64_t ticket = 1);
+    /// Returns the result of the job with this ticket, if it has ended.
+    [[nodiscard]] std::optional<job_result>
+    result_of(std::uint64_t ticket) const;
     void accept_all();
     /// Reports that a run ended, in a poll reply.
     void end_run(const std::string& server, const run_id& run,
--- a/tests/unit/dispatch/pool_dispatcher_test.cpp
+++ b/tests/unit/dispatch/pool_dispatcher_test.cpp
@@ -162,6 +162,60 @@
     BOOST_TEST(this->starts[1].second.run == 2);
 }
 
+// Guards against a refusal, which lets another holder start the job at once,
+// while a run of an earlier attempt is still being stopped.
+BOOST_AUTO_TEST_CASE(resubmission_old_run_stopping_busy_not_refused)
+{
+    this->add_server("s1");
+    this->submit(make_job("a", 3));
+    this->accept_all();
+    this->dispatcher.cancel("a", "caller left", this->now);
+    auto terms = make_terms();
+    terms.waited = milliseconds(200);
+    this->dispatcher.submit(make_job("a", 3), terms, {0, 2}, this->now);
+    BOOST_REQUIRE(this->result_of(2));
+    BOOST_CHECK(this->result_of(2)->outcome == job_outcome::incomplete);
+}
+
+// The same, when its server is no longer in use.
+BOOST_AUTO_TEST_CASE(resubmission_old_run_stopping_no_server_not_refused)
+{
+    this->add_server("s1");
+    this->submit(make_job("a", 1));
+    this->accept_all();
+    this->dispatcher.cancel("a", "caller left", this->now);
+    this->dispatcher.set_reachable("s1", false, this->now);
+    this->submit(make_job("a", 1), 2);
+    BOOST_REQUIRE(this->result_of(2));
+    BOOST_CHECK(this->result_of(2)->outcome == job_outcome::incomplete);
+}
+
+// The same, when the job can no longer meet its objective.
+BOOST_AUTO_TEST_CASE(resubmission_old_run_stopping_too_late_not_refused)
+{
+    this->add_server("s1");
+    this->submit(make_job("a", 3));
+    this->accept_all();
+    this->dispatcher.cancel("a", "caller left", this->now);
+    this->submit(make_job("a", 3), 2);
+    this->advance(milliseconds(110));
+    BOOST_REQUIRE(this->result_of(2));
+    BOOST_CHECK(this->result_of(2)->outcome == job_outcome::incomplete);
+}
+
+// The same, when the caller's time is over.
+BOOST_AUTO_TEST_CASE(resubmission_old_run_stopping_out_of_time_not_refused)
+{
+    this->add_server("s1");
+    this->submit(make_job("a", 1));
+    this->accept_all();
+    this->dispatcher.cancel("a", "caller left", this->now);
+    this->submit(make_job("a", 1), 2);
+    this->advance(milliseconds(1600));
+    BOOST_REQUIRE(this->result_of(2));
+    BOOST_CHECK(this->result_of(2)->outcome == job_outcome::incomplete);
+}
+
 // A caller that reconnects and submits an open job again causes no second run.
 BOOST_AUTO_TEST_CASE(resubmission_job_open_answers_the_new_attempt)
 {
