Never refuse a job that a stopping holder is running

What callers could see: two runs of a task at the same time (TWICE). A caller sent a job again through another instance while the holder of its first attempt was stopping and had not yet noticed that the caller left, or was still stopping its runs.

Cause: a stopping holder refused every job that arrived, also one that it was running. The accepting instance sends a refused job to another holder at once.

Change: an open job is continued for the new attempt, as it is by a holder that is not stopping.

Evidence, on the code before: dispatch_node_test.cpp(142): error: in "holder_draining_running_job_ submitted_again_not_refused": check accepting.result_of(2)->outcome == job_outcome::completed has failed dispatch_node_test.cpp(164): error: in "holder_draining_stopping_job_ submitted_again_not_refused": check accepting.result_of(2)->outcome == job_outcome::incomplete has failed Both pass now.

Ruled out: the refusal by an accepting instance that is stopping.

--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -710,6 +710,17 @@
     }
 }
 
+bool pool_dispatcher::is_open(const std::string& job) const
+{
+    const auto at = this->jobs.find(job);
+    return at != this->jobs.end() && !at->second->answered;
+}
+
+bool pool_dispatcher::has_job(const std::string& job) const
+{
+    return this->jobs.count(job) > 0;
+}
+
 bool pool_dispatcher::has_run(const std::string& server,
                               const run_id& run) const
 {
--- a/src/libjujubedrum/dispatch/pool_dispatcher.hpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.hpp
@@ -98,6 +98,10 @@
     /// Starts waiting tasks that fit, refuses jobs that can no longer meet
     /// their objective, ends those past their deadline and stops overdue runs.
     void pump(instant now);
+    /// Returns whether a caller waits for the job.
+    [[nodiscard]] bool is_open(const std::string& job) const;
+    /// Returns whether the job is open or its runs are still being stopped.
+    [[nodiscard]] bool has_job(const std::string& job) const;
     /// Returns whether this run of one of the dispatcher's jobs may be on the
     /// server.
     [[nodiscard]] bool has_run(const std::string& server,
--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -173,13 +173,17 @@
 {
     if (const auto* submitted = std::get_if<submit_message>(&message))
     {
-        if (this->draining)
+        const std::string& id = submitted->request.id;
+        if (this->draining && !this->dispatcher.is_open(id))
         {
-            this->mesh.send(link,
-                            result_message{submitted->ticket,
-                                           {job_outcome::refused, "stopping",
-                                            stopping_retry_after},
-                                           {}});
+            // After a refusal another holder may start the job at once.
+            const job_outcome outcome = this->dispatcher.has_job(id)
+                                            ? job_outcome::incomplete
+                                            : job_outcome::refused;
+            this->mesh.send(link, result_message{submitted->ticket,
+                                                 {outcome, "stopping",
+                                                  stopping_retry_after},
+                                                 {}});
             return;
         }
         this->dispatcher.submit(submitted->request, submitted->terms,
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -122,6 +122,48 @@
     BOOST_TEST(this->record.total_starts() == 1);
 }
 
+// Guards against a refusal by a stopping holder, which lets another holder
+// start the job at once, of a job that it is still running.
+BOOST_AUTO_TEST_CASE(holder_draining_running_job_submitted_again_not_refused)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    peer_standin accepting(this->loop, "b", this->member_of("a"), {});
+    BOOST_REQUIRE(this->wait([&] { return accepting.linked(); }));
+    submit_message job = this->submission_of("0000000000000001", 1000);
+    accepting.send(job);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->nodes["a"]->node().drain();
+    job.ticket = 2;
+    accepting.send(job);
+    BOOST_REQUIRE(
+        this->wait([&] { return accepting.result_of(2).has_value(); }));
+    BOOST_CHECK(accepting.result_of(2)->outcome == job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 1);
+}
+
+// The same, when the run is being stopped.
+BOOST_AUTO_TEST_CASE(holder_draining_stopping_job_submitted_again_not_refused)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    peer_standin accepting(this->loop, "b", this->member_of("a"), {});
+    BOOST_REQUIRE(this->wait([&] { return accepting.linked(); }));
+    submit_message job = this->submission_of("0000000000000001", 60000);
+    accepting.send(job);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->servers["s1"]->drop_stop_requests(std::numeric_limits<int>::max());
+    this->nodes["a"]->node().drain();
+    accepting.send(cancel_message{job.request.id, "caller left"});
+    job.ticket = 2;
+    accepting.send(job);
+    BOOST_REQUIRE(
+        this->wait([&] { return accepting.result_of(2).has_value(); }));
+    BOOST_CHECK(accepting.result_of(2)->outcome == job_outcome::incomplete);
+}
+
 // The answer to a start is lost; the poll reply shows the run.
 BOOST_AUTO_TEST_CASE(start_answer_lost_task_runs_once)
 {
--- a/tests/unit/dispatch/peer_standin.cpp
+++ b/tests/unit/dispatch/peer_standin.cpp
@@ -36,6 +36,12 @@
     this->mesh.send(*this->link, message);
 }
 
+std::optional<job_result> peer_standin::result_of(std::uint64_t ticket) const
+{
+    const auto at = this->results.find(ticket);
+    return at == this->results.end() ? std::nullopt : std::optional(at->second);
+}
+
 void peer_standin::on_heartbeat(std::uint64_t number,
                                 const heartbeat_message& heartbeat)
 {
@@ -55,7 +61,7 @@
     }
     if (const auto* ended = std::get_if<result_message>(&message))
     {
-        this->received_results.push_back(*ended);
+        this->results.emplace(ended->ticket, ended->result);
     }
 }
 
--- a/tests/unit/dispatch/peer_standin.hpp
+++ b/tests/unit/dispatch/peer_standin.hpp
@@ -3,6 +3,7 @@
 #include "node/peer_mesh.hpp"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -39,11 +40,9 @@
     {
         return this->submission_interval;
     }
-    /// Returns the results that arrived, in order of arrival.
-    [[nodiscard]] const std::vector<result_message>& results() const
-    {
-        return this->received_results;
-    }
+    /// Returns the first result that arrived for a ticket.
+    [[nodiscard]] std::optional<job_result>
+    result_of(std::uint64_t ticket) const;
     /// Sends a message. Requires a link.
     void send(const dispatch_message& message);
 
@@ -65,7 +64,7 @@
     milliseconds last_interval{0};
     milliseconds submission_interval{0};
     std::vector<submit_message> received;
-    std::vector<result_message> received_results;
+    std::map<std::uint64_t, job_result> results; ///< by ticket
 };
 
 } // namespace jujubedrum
