--- a/src/libjujubedrum/dispatch/pool_dispatcher.hpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.hpp
@@ -98,12 +98,18 @@
     /// Starts waiting tasks that fit, refuses jobs that can no longer meet
     /// their objective, ends those past their deadline and stops overdue runs.
     void pump(instant now);
+    /// Returns whether a caller waits for the job.
+    [[nodiscard]] bool is_open(const std::string& job) const;
+    /// Returns whether the job is open or its runs are still being stopped.
+    [[nodiscard]] bool has_job(const std::string& job) const;
     /// Returns whether this run of one of the dispatcher's jobs may be on the
     /// server.
     [[nodiscard]] bool has_run(const std::string& server,
                                const run_id& run) const;
     /// Returns whether any run of the dispatcher's jobs may be on the server.
     [[nodiscard]] bool has_runs(const std::string& server) const;
+    /// Returns the instances that wait for the result of an open job.
+    [[nodiscard]] std::set<std::uint64_t> open_job_origins() const;
     [[nodiscard]] dispatch_load load(instant now) const;
     [[nodiscard]] bool idle() const { return this->jobs.empty(); }
     [[nodiscard]] std::size_t open_jobs() const { return this->jobs.size(); }
@@ -128,6 +134,9 @@
     void on_done(const task_ref& ref, instant now);
     void on_failure(const task_ref& ref, instant now);
     void check_overdue(const std::string& id, held_server& server, instant now);
+    /// Reports the result of a job and stops its runs. A job of which a task
+    /// may have started, or that has runs of an earlier attempt, ends as
+    /// incomplete rather than refused.
     void finish(pooled_job& job, job_outcome outcome, std::string reason,
                 milliseconds retry_after, instant now);
     void erase_if_finished(pooled_job& job);
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -1,4 +1,9 @@
 #include "node_fixture.hpp"
+#include "peer_standin.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <list>
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -6,6 +11,17 @@
 namespace jujubedrum
 {
 
+namespace
+{
+
+/// Enough peers for the intervals of links without jobs to grow.
+constexpr int many_peers = 30;
+/// 3.5 times this is 875 ms, so that tasks are stopped before the next attempt
+/// of a caller, 1.3 s after the failed one.
+constexpr milliseconds max_open_job_interval{250};
+
+} // namespace
+
 BOOST_FIXTURE_TEST_SUITE(dispatch_node_suite, node_fixture)
 
 BOOST_AUTO_TEST_CASE(job_at_any_instance_completes)
@@ -202,6 +218,48 @@
     BOOST_TEST(peers_of_b() == 0U);
 }
 
+// Guards against a refusal by a stopping holder, which lets another holder
+// start the job at once, of a job that it is still running.
+BOOST_AUTO_TEST_CASE(holder_draining_running_job_submitted_again_not_refused)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    peer_standin accepting(this->loop, "b", this->member_of("a"), {});
+    BOOST_REQUIRE(this->wait([&] { return accepting.linked(); }));
+    submit_message job = this->submission_of("0000000000000001", 1000);
+    accepting.send(job);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->nodes["a"]->node().drain();
+    job.ticket = 2;
+    accepting.send(job);
+    BOOST_REQUIRE(
+        this->wait([&] { return accepting.result_of(2).has_value(); }));
+    BOOST_CHECK(accepting.result_of(2)->outcome == job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 1);
+}
+
+// The same, when the run is being stopped.
+BOOST_AUTO_TEST_CASE(holder_draining_stopping_job_submitted_again_not_refused)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    peer_standin accepting(this->loop, "b", this->member_of("a"), {});
+    BOOST_REQUIRE(this->wait([&] { return accepting.linked(); }));
+    submit_message job = this->submission_of("0000000000000001", 60000);
+    accepting.send(job);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->servers["s1"]->drop_stop_requests(std::numeric_limits<int>::max());
+    this->nodes["a"]->node().drain();
+    accepting.send(cancel_message{job.request.id, "caller left"});
+    job.ticket = 2;
+    accepting.send(job);
+    BOOST_REQUIRE(
+        this->wait([&] { return accepting.result_of(2).has_value(); }));
+    BOOST_CHECK(accepting.result_of(2)->outcome == job_outcome::incomplete);
+}
+
 // The answer to a start is lost; the poll reply shows the run.
 BOOST_AUTO_TEST_CASE(start_answer_lost_task_runs_once)
 {
@@ -250,6 +308,64 @@
     BOOST_TEST(this->record.violations().empty());
 }
 
+// Guards against polls that renew the lease of a run which has to end: its
+// job's caller may submit it again elsewhere.
+BOOST_AUTO_TEST_CASE(stops_lost_cancelled_run_ends_with_its_lease)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->submit("a", "0000000000000001", 1, 60000, seconds(60));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->servers["s1"]->drop_stop_requests(std::numeric_limits<int>::max());
+    this->nodes["a"]->node().cancel("0000000000000001");
+    BOOST_CHECK(
+        this->wait([&] { return !this->record.runs("0000000000000001"); }));
+}
+
+// Guards against starts that prolong the lease of such a run.
+BOOST_AUTO_TEST_CASE(stops_lost_starts_do_not_prolong_cancelled_run)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->submit("a", "0000000000000001", 1, 60000, seconds(60));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->servers["s1"]->drop_stop_requests(std::numeric_limits<int>::max());
+    this->nodes["a"]->node().cancel("0000000000000001");
+    instant next_job = event_loop::now();
+    std::uint64_t jobs = 1;
+    BOOST_CHECK(this->wait(
+        [&]
+        {
+            if (event_loop::now() >= next_job)
+            {
+                next_job = event_loop::now() + milliseconds(50);
+                this->submit("a", "000000000000000x" + std::to_string(++jobs),
+                             1, 10);
+            }
+            return !this->record.runs("0000000000000001");
+        }));
+}
+
+// Guards against ending the other runs on a server for a short loss of stops.
+BOOST_AUTO_TEST_CASE(stops_lost_for_a_while_other_runs_kept)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->submit("a", "0000000000000001", 1, 60000, seconds(60));
+    this->submit("a", "0000000000000002", 1, 2500);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 2; }));
+    this->servers["s1"]->drop_stop_requests(4);
+    this->nodes["a"]->node().cancel("0000000000000001");
+    BOOST_REQUIRE(this->wait_for("0000000000000002"));
+    BOOST_CHECK(this->results["0000000000000002"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.starts_of("0000000000000002") == 1);
+    BOOST_TEST(!this->record.runs("0000000000000001"));
+}
+
 BOOST_AUTO_TEST_CASE(server_crashed_task_runs_elsewhere)
 {
     this->add_server("s1");
@@ -406,6 +522,64 @@
     BOOST_CHECK(event_loop::now() - healed >= seconds(5));
 }
 
+// Guards against tasks that outlive a caller's attempt: an accepting instance
+// that lost power was noticed only after 3.5 times up to 2 s, if its job had
+// been running for longer than 2 s.
+BOOST_AUTO_TEST_CASE(accepting_instance_job_open_holder_gets_short_interval)
+{
+    this->start_node("a");
+    std::list<peer_standin> peers;
+    for (int i = 1; i < many_peers; ++i)
+    {
+        peers.emplace_back(this->loop, "p" + std::to_string(i),
+                           this->member_of("a"), std::vector<pool_hold>{});
+    }
+    peer_standin& holder =
+        peers.emplace_back(this->loop, "holder", this->member_of("a"),
+                           std::vector<pool_hold>{{{"d9", 0}, 1024, true}});
+    BOOST_REQUIRE(this->wait(
+        [&]
+        {
+            return std::all_of(peers.begin(), peers.end(),
+                               [](const peer_standin& each)
+                               { return each.linked(); }) &&
+                   holder.announced_interval() > seconds(1);
+        }));
+    this->submit("a", "0000000000000001", 1, 6000);
+    BOOST_REQUIRE(this->wait([&] { return !holder.submissions().empty(); }));
+    BOOST_CHECK(holder.interval_at_submission() <= max_open_job_interval);
+    this->pass(peer_mesh::recent_traffic_window + seconds(1));
+    BOOST_CHECK(holder.announced_interval() <= max_open_job_interval);
+    holder.send(result_message{holder.submissions().front().ticket,
+                               {job_outcome::completed, "", milliseconds(0)},
+                               {}});
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(
+        this->wait([&] { return holder.announced_interval() > seconds(1); }));
+}
+
+// Guards against a job that waits 3.5 s for its holder to count as dead.
+BOOST_AUTO_TEST_CASE(holder_job_open_accepting_instance_gets_short_interval)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    std::list<peer_standin> peers;
+    for (int i = 0; i < many_peers; ++i)
+    {
+        peers.emplace_back(this->loop, "p" + std::to_string(i),
+                           this->member_of("a"), std::vector<pool_hold>{});
+    }
+    peer_standin& accepting = peers.back();
+    BOOST_REQUIRE(this->wait(
+        [&]
+        { return accepting.announced_interval() > max_open_job_interval; }));
+    accepting.send(this->submission_of("0000000000000001", 5000));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->pass(peer_mesh::recent_traffic_window + seconds(1));
+    BOOST_CHECK(accepting.announced_interval() <= max_open_job_interval);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubedrum
