Let the backend server stand-in carry out lease renewals late

The platform carries out some requests seconds after they were sent, without an answer, and their times may count from then. A server that restarts under its id has a new clock. The stand-in could only delay starts, kept its clock over a restart, and answered polls of before a restart as if the new incarnation had received them.

Renewals can now be delayed like starts, the times of delayed requests can be shifted, a restart sets the clock to 0, and polls that were pending are not answered. Unresponsive servers still carry out what was delayed.

--- a/standins/users/task_server_standin.cpp
+++ b/standins/users/task_server_standin.cpp
@@ -93,7 +93,9 @@
 
 std::int64_t task_server_standin::clock_ms() const
 {
-    return std::chrono::duration_cast<milliseconds>(event_loop::now()).count();
+    return std::chrono::duration_cast<milliseconds>(event_loop::now() -
+                                                    this->clock_origin)
+        .count();
 }
 
 std::uint32_t task_server_standin::used_cpu() const
@@ -130,6 +132,12 @@
     this->start_delay = by;
 }
 
+void task_server_standin::delay_renewals(int count, milliseconds by)
+{
+    this->renewals_to_delay = count;
+    this->renewal_delay = by;
+}
+
 void task_server_standin::crash()
 {
     for (const auto& [task, run] : this->runs)
@@ -138,7 +146,9 @@
     }
     this->runs.clear();
     this->ended_runs.clear();
+    this->pending_polls.clear();
     this->highest_run.clear();
+    this->clock_origin = event_loop::now();
     this->fencing_token = 0;
     this->lease_end_ms = 0;
     this->next_end_number = 1;
@@ -151,7 +161,7 @@
     const http_request& request,
     const std::shared_ptr<http_responder>& responder)
 {
-    if (this->unresponsive)
+    if (this->delay(request) || this->unresponsive)
     {
         return;
     }
@@ -172,17 +182,6 @@
         responder->answer({status, reply});
         return;
     }
-    if (this->starts_to_delay > 0)
-    {
-        --this->starts_to_delay;
-        this->loop.after(this->start_delay,
-                         [this, body = request.body]
-                         {
-                             std::string ignored;
-                             (void)this->start(body, ignored);
-                         });
-        return;
-    }
     const int status = this->start(request.body, reply);
     if (this->replies_to_drop > 0)
     {
@@ -192,6 +191,39 @@
     responder->answer({status, reply});
 }
 
+bool task_server_standin::delay(const http_request& request)
+{
+    const json in = json::parse(request.body);
+    const bool renewal =
+        request.target == "/v1/hold" && in.contains("deadlineMs");
+    const bool start = request.target == "/v1/run-start";
+    int& remaining = start ? this->starts_to_delay : this->renewals_to_delay;
+    if ((!start && !renewal) || remaining == 0)
+    {
+        return false;
+    }
+    --remaining;
+    const milliseconds by = start ? this->start_delay : this->renewal_delay;
+    json late = in;
+    if (this->times_shifted)
+    {
+        late["deadlineMs"] =
+            late["deadlineMs"].get<std::int64_t>() + by.count();
+    }
+    this->loop.after(by,
+                     [this, start, body = late.dump()]
+                     {
+                         std::string ignored;
+                         if (start)
+                         {
+                             (void)this->start(body, ignored);
+                             return;
+                         }
+                         this->execute_poll(body);
+                     });
+    return true;
+}
+
 void task_server_standin::extend_lease(std::int64_t until_ms)
 {
     const std::int64_t max_end_ms = this->clock_ms() + max_lease_ms;
@@ -278,6 +310,24 @@
 
 void task_server_standin::serve_poll(
     const std::string& body, const std::shared_ptr<http_responder>& responder)
+{
+    if (!this->execute_poll(body))
+    {
+        responder->answer(
+            {409,
+             json{{"clockMs", this->clock_ms()}, {"reason", "fence"}}.dump()});
+        return;
+    }
+    const milliseconds wait(json::parse(body).value("waitMs", 0));
+    if (wait.count() == 0 || !this->ended_runs.empty())
+    {
+        responder->answer({200, this->poll_reply_body()});
+        return;
+    }
+    this->pending_polls.push_back({responder, event_loop::now() + wait});
+}
+
+bool task_server_standin::execute_poll(const std::string& body)
 {
     this->advance();
     const json in = json::parse(body);
@@ -285,10 +335,7 @@
         in.value("fencingToken", std::uint64_t{0});
     if (request_token < this->fencing_token)
     {
-        responder->answer(
-            {409,
-             json{{"clockMs", this->clock_ms()}, {"reason", "fence"}}.dump()});
-        return;
+        return false;
     }
     this->fencing_token = request_token;
     const std::uint64_t acknowledged = in.value("ackCursor", std::uint64_t{0});
@@ -298,13 +345,7 @@
     {
         this->extend_lease(in["deadlineMs"]);
     }
-    const milliseconds wait(in.value("waitMs", 0));
-    if (wait.count() == 0 || !this->ended_runs.empty())
-    {
-        responder->answer({200, this->poll_reply_body()});
-        return;
-    }
-    this->pending_polls.push_back({responder, event_loop::now() + wait});
+    return true;
 }
 
 std::string task_server_standin::poll_reply_body() const
--- a/standins/users/task_server_standin.hpp
+++ b/standins/users/task_server_standin.hpp
@@ -67,15 +67,22 @@
     /// Executes the next `count` start requests after a delay, without
     /// replying.
     void delay_starts(int count, milliseconds by);
+    /// Executes the next `count` polls that renew the lease after a delay,
+    /// without replying.
+    void delay_renewals(int count, milliseconds by);
+    /// While set, the lease times of delayed requests count from their
+    /// execution, not from their arrival.
+    void set_late_times_shifted(bool value) { this->times_shifted = value; }
     void set_draining(bool value) { this->draining = value; }
     void set_failing(bool value) { this->failing = value; }
     /// While set, tasks run without making progress.
     void set_hanging(bool value) { this->hanging = value; }
     void set_slowdown(double factor) { this->slowdown = factor; }
-    /// While set, requests are neither executed nor replied to. Runs continue.
+    /// While set, requests are neither executed nor replied to, except for
+    /// those to be delayed. Runs continue.
     void set_unresponsive(bool value) { this->unresponsive = value; }
     /// Simulates a restart: drops all state and starts a new incarnation under
-    /// the same id.
+    /// the same id, with a clock that starts from 0. Delayed requests remain.
     void crash();
 
 private:
@@ -103,6 +110,9 @@
 
     void serve(const http_request& request,
                const std::shared_ptr<http_responder>& responder);
+    /// Executes the request after a delay, without replying, if it is one of
+    /// those to be delayed. Returns whether it is.
+    bool delay(const http_request& request);
     [[nodiscard]] int start(const std::string& body, std::string& reply);
     [[nodiscard]] int stop(const std::string& body, std::string& reply);
     /// Handles a poll request: drops the acknowledged ended runs, extends the
@@ -110,6 +120,8 @@
     /// run has ended or the requested wait is over.
     void serve_poll(const std::string& body,
                     const std::shared_ptr<http_responder>& responder);
+    /// Executes a poll request. Returns false if its token is outdated.
+    bool execute_poll(const std::string& body);
     /// Updates the progress of runs to the current time, ends those that are
     /// finished, stopped or past the lease, and answers pending polls.
     void advance();
@@ -126,6 +138,7 @@
     std::uint32_t capacity;
     run_recorder& recorder;
     std::uint64_t incarnation; ///< increases with each restart
+    instant clock_origin{0};
     std::uint64_t fencing_token = 0;
     std::int64_t lease_end_ms = 0;
     std::uint64_t next_end_number = 1;
@@ -138,6 +151,9 @@
     int stops_to_drop = 0;
     int starts_to_delay = 0;
     milliseconds start_delay{0};
+    int renewals_to_delay = 0;
+    milliseconds renewal_delay{0};
+    bool times_shifted = false;
     bool draining = false;
     bool failing = false;
     bool hanging = false;
--- a/tests/unit/dispatch/node_fixture.cpp
+++ b/tests/unit/dispatch/node_fixture.cpp
@@ -144,4 +144,9 @@
     return this->loop.run_until(condition, wait_timeout);
 }
 
+void node_fixture::run_for(milliseconds time)
+{
+    this->loop.run_until([] { return false; }, time);
+}
+
 } // namespace jujubedrum
--- a/tests/unit/dispatch/node_fixture.hpp
+++ b/tests/unit/dispatch/node_fixture.hpp
@@ -48,6 +48,8 @@
                 milliseconds time_left = milliseconds(8000));
     bool wait_for(const std::string& job);
     bool wait(const std::function<bool()>& condition);
+    /// Runs the event loop for this time.
+    void run_for(milliseconds time);
     [[nodiscard]] std::size_t servers_of(const std::string& name);
 
     event_loop loop;
