--- a/tests/unit/dispatch/node_fixture.hpp
+++ b/tests/unit/dispatch/node_fixture.hpp
@@ -55,6 +55,8 @@
                                  milliseconds time_left = milliseconds(8000));
     bool wait_for(const std::string& job);
     bool wait(const std::function<bool()>& condition);
+    /// Runs the event loop for this time.
+    void run_for(milliseconds time);
     [[nodiscard]] std::size_t servers_of(const std::string& name);
     /// Returns the announcement of an instance for peers that do not read the
     /// store.
@@ -62,6 +64,11 @@
     /// Waits for the time, for what has to stay as it is.
     void pass(milliseconds time);
 
+    /// Returns the number of servers that the instance has sessions with.
+    [[nodiscard]] std::size_t sessions_of(const std::string& name);
+    /// Returns the highest token of the pools that the instance holds.
+    [[nodiscard]] std::uint64_t token_of(const std::string& name);
+
     event_loop loop;
     log_store_standin store{loop};
     run_recorder record;
