--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -15,8 +15,6 @@
 constexpr milliseconds no_capacity_backoff{25};
 /// For a server that has a fault or is overloaded (429, 503).
 constexpr milliseconds unhealthy_backoff{250};
-/// Time that a start request may still be in flight beyond its validity.
-constexpr milliseconds delivery_slack{100};
 /// Interval at which runs are compared with their expected run time.
 constexpr milliseconds overdue_check_interval{40};
 /// A run is overdue after this multiple of its expected run time, and at least
@@ -37,8 +35,7 @@
 
 pool_dispatcher::pool_dispatcher(const dispatch_options& settings,
                                  task_launcher& orders, job_listener& results)
-    : options(settings)
-    , launcher(orders)
+    : launcher(orders)
     , listener(results)
     , chooser(settings.far_factor)
 {
@@ -251,7 +248,7 @@
     task.percent = 0;
     task.percent_at = instant(0);
     task.conclusive_from.reset();
-    task.unanswered_at.reset();
+    task.start_unanswered = false;
     server.record.reserve(ref.spec().demand);
     server.runs.push_back(ref);
     --job.waiting;
@@ -317,9 +314,8 @@
         task->conclusive_from = now;
         return;
     case start_outcome::unanswered:
-        task->conclusive_from =
-            now + this->options.start_validity + delivery_slack;
-        task->unanswered_at = now;
+        task->conclusive_from = now;
+        task->start_unanswered = true;
         this->launcher.poll(server);
         return;
     case start_outcome::no_capacity:
@@ -411,24 +407,15 @@
         [&run](const active_run& entry) { return entry.run == run; });
     if (still_running)
     {
-        if (task.state == task_state::starting && task.unanswered_at)
+        if (task.state == task_state::starting && task.start_unanswered)
         {
             task.state = task_state::running;
-            task.conclusive_from = now;
         }
         return;
     }
     if (task.conclusive_from && *task.conclusive_from <= polled_at)
     {
         this->release_run(ref, now);
-        return;
-    }
-    // The start request may still be in flight; a confirmed stop keeps the
-    // server from carrying it out.
-    if (task.state == task_state::starting && task.unanswered_at &&
-        *task.unanswered_at <= polled_at)
-    {
-        this->stop_run(ref, now);
     }
 }
 
@@ -565,6 +552,13 @@
     this->dequeue(job);
     this->deadlines.erase({job.deadline, job.request.id});
     job.answered = true;
+    // A refused job is given to another holder at once, which must not start it
+    // while runs are left here, be they those of an earlier attempt.
+    if (outcome == job_outcome::refused &&
+        (job.starts > 0 || job.on_servers > 0))
+    {
+        outcome = job_outcome::incomplete;
+    }
     for (std::uint32_t step = 0; step < job.tasks.size(); ++step)
     {
         for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index)
@@ -624,10 +618,8 @@
             continue;
         }
         pooled_job& job = *at->second;
-        const bool never_started = job.starts == 0;
-        this->finish(
-            job, never_started ? job_outcome::refused : job_outcome::incomplete,
-            "out of time", min_retry_after, now);
+        this->finish(job, job_outcome::refused, "out of time", min_retry_after,
+                     now);
     }
 }
 
@@ -705,6 +697,17 @@
     }
 }
 
+bool pool_dispatcher::is_open(const std::string& job) const
+{
+    const auto at = this->jobs.find(job);
+    return at != this->jobs.end() && !at->second->answered;
+}
+
+bool pool_dispatcher::has_job(const std::string& job) const
+{
+    return this->jobs.count(job) > 0;
+}
+
 bool pool_dispatcher::has_run(const std::string& server,
                               const run_id& run) const
 {
@@ -724,6 +727,19 @@
     return at != this->servers.end() && !at->second.runs.empty();
 }
 
+std::set<std::uint64_t> pool_dispatcher::open_job_origins() const
+{
+    std::set<std::uint64_t> origins;
+    for (const auto& [id, job] : this->jobs)
+    {
+        if (!job->answered)
+        {
+            origins.insert(job->origin.instance);
+        }
+    }
+    return origins;
+}
+
 dispatch_load pool_dispatcher::load(instant now) const
 {
     dispatch_load result = this->meter.measure(this->servers, now);
--- a/src/libjujubedrum/dispatch/pool_dispatcher.hpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.hpp
@@ -29,7 +29,8 @@
     virtual void start(const std::string& server, const run_id& run,
                        const std::string& payload) = 0;
     virtual void stop(const std::string& server, const run_id& run) = 0;
-    /// Polls the server as soon as possible.
+    /// Polls the server as soon as possible. Once a poll is answered that was
+    /// sent after this call, no earlier unanswered start takes effect.
     virtual void poll(const std::string& server) = 0;
 };
 
@@ -48,9 +49,6 @@
     /// Run time of a task away from the rack of its data, as a multiple of
     /// that within the rack.
     double far_factor = 1.5;
-    /// Time after which a server refuses a start request that it has not
-    /// carried out yet.
-    milliseconds start_validity{300};
 };
 
 /// Queues, places, retries and ends jobs on the servers that this instance
@@ -98,12 +96,18 @@
     /// Starts waiting tasks that fit, refuses jobs that can no longer meet
     /// their objective, ends those past their deadline and stops overdue runs.
     void pump(instant now);
+    /// Returns whether a caller waits for the job.
+    [[nodiscard]] bool is_open(const std::string& job) const;
+    /// Returns whether the job is open or its runs are still being stopped.
+    [[nodiscard]] bool has_job(const std::string& job) const;
     /// Returns whether this run of one of the dispatcher's jobs may be on the
     /// server.
     [[nodiscard]] bool has_run(const std::string& server,
                                const run_id& run) const;
     /// Returns whether any run of the dispatcher's jobs may be on the server.
     [[nodiscard]] bool has_runs(const std::string& server) const;
+    /// Returns the instances that wait for the result of an open job.
+    [[nodiscard]] std::set<std::uint64_t> open_job_origins() const;
     [[nodiscard]] dispatch_load load(instant now) const;
     [[nodiscard]] bool idle() const { return this->jobs.empty(); }
     [[nodiscard]] std::size_t open_jobs() const { return this->jobs.size(); }
@@ -128,6 +132,9 @@
     void on_done(const task_ref& ref, instant now);
     void on_failure(const task_ref& ref, instant now);
     void check_overdue(const std::string& id, held_server& server, instant now);
+    /// Reports the result of a job and stops its runs. A job of which a task
+    /// may have started, or that has runs of an earlier attempt, ends as
+    /// incomplete rather than refused.
     void finish(pooled_job& job, job_outcome outcome, std::string reason,
                 milliseconds retry_after, instant now);
     void erase_if_finished(pooled_job& job);
@@ -142,7 +149,6 @@
     void refuse_if_too_late(pooled_job& job, instant now);
     void check_deadlines(instant now);
 
-    dispatch_options options;
     task_launcher& launcher;
     job_listener& listener;
     server_chooser chooser;
--- a/src/libruntime/node/server_session.cpp
+++ b/src/libruntime/node/server_session.cpp
@@ -17,6 +17,15 @@
 constexpr milliseconds stop_backoff{50};
 /// Servers' clocks may be slow by 2 %, and requests take time to arrive.
 constexpr milliseconds lease_slack{60};
+/// A caller whose attempt failed tries again after this time, at any instance.
+constexpr milliseconds min_next_attempt_delay{1300};
+/// After a stop has been neither confirmed nor shown by a poll reply for this
+/// time, the run is left to end with its lease. Within it, two stop requests
+/// are answered or time out.
+constexpr milliseconds max_unresolved_stop{150};
+static_assert(max_unresolved_stop + lease_options{}.max_lease + lease_slack <
+                  min_next_attempt_delay,
+              "a run that has to end must not overlap the next attempt");
 /// Poll interval during the takeover of a server.
 constexpr milliseconds takeover_poll_interval{20};
 
@@ -77,17 +86,20 @@
     request.acknowledged = this->acknowledged;
     request.wait = wait;
     // A server that timed out may not come back. Its tasks can run elsewhere
-    // only after its lease has expired, so polls do not renew the lease.
+    // only after its lease has expired, so polls do not renew the lease. The
+    // same holds for a run that cannot be stopped.
     if (this->attached && this->clock_offset &&
-        !this->schedule.timed_out(event_loop::now()))
+        !this->schedule.timed_out(event_loop::now()) &&
+        !this->has_unresolved_stop(event_loop::now()))
     {
         request.lease_until = this->server_now() + this->options.max_lease;
         this->extend_lease_end(event_loop::now() + this->options.max_lease);
     }
-    this->channel->poll(request,
-                        [self = this->shared_from_this(),
-                         polled_at = event_loop::now()](const poll_reply& reply)
-                        { self->on_poll_reply(reply, polled_at, true); });
+    const sent_poll sent{event_loop::now(), request.token, true,
+                         request.lease_until.has_value()};
+    this->channel->poll(request, [self = this->shared_from_this(),
+                                  sent](const poll_reply& reply)
+                        { self->on_poll_reply(reply, sent); });
 }
 
 void server_session::poll_soon()
@@ -100,17 +112,43 @@
     poll_request request;
     request.token = this->token_value;
     request.acknowledged = this->acknowledged;
-    this->channel->poll(request,
-                        [self = this->shared_from_this(),
-                         polled_at = event_loop::now()](const poll_reply& reply)
-                        {
-                            self->extra_poll = false;
-                            self->on_poll_reply(reply, polled_at, false);
-                        });
+    const sent_poll sent{event_loop::now(), request.token, false, false};
+    this->channel->poll(request, [self = this->shared_from_this(),
+                                  sent](const poll_reply& reply)
+                        { self->on_extra_poll_reply(reply, sent); });
 }
 
-void server_session::on_poll_reply(const poll_reply& reply, instant polled_at,
-                                   bool is_regular)
+void server_session::on_extra_poll_reply(const poll_reply& reply,
+                                         const sent_poll& sent)
+{
+    this->extra_poll = false;
+    this->on_poll_reply(reply, sent);
+    if (sent.token < this->token_value)
+    {
+        this->poll_soon();
+    }
+}
+
+std::uint64_t server_session::next_token() const
+{
+    const std::uint64_t next = this->token_value + 1;
+    return next % tokens_per_hold == 0 ? this->token_value : next;
+}
+
+void server_session::raise_token()
+{
+    if (this->next_token() == this->token_value)
+    {
+        LOG(WARNING) << "server: fencing tokens used up; server="
+                     << this->id_value;
+        this->fenced();
+        return;
+    }
+    ++this->token_value;
+}
+
+void server_session::on_poll_reply(const poll_reply& reply,
+                                   const sent_poll& sent)
 {
     if (this->ended)
     {
@@ -119,8 +157,8 @@
     switch (reply.outcome)
     {
     case poll_outcome::answered:
-        this->accept_poll_reply(reply, polled_at);
-        if (is_regular && !this->ended)
+        this->accept_poll_reply(reply, sent.at);
+        if (sent.regular && !this->ended)
         {
             if (this->attached)
             {
@@ -137,14 +175,27 @@
         }
         return;
     case poll_outcome::fenced:
-        this->fenced();
+        if (sent.token == this->token_value)
+        {
+            this->fenced();
+        }
+        else if (sent.regular)
+        {
+            // A later request of this session overtook the poll.
+            this->poll(milliseconds(0));
+        }
         return;
+    case poll_outcome::unanswered:
+        if (sent.renewal)
+        {
+            this->raise_token();
+        }
+        break;
     case poll_outcome::restarted:
     case poll_outcome::refused:
-    case poll_outcome::unanswered:
         break;
     }
-    if (is_regular)
+    if (sent.regular)
     {
         this->on_unanswered_poll();
     }
@@ -201,7 +252,10 @@
     }
     if (this->attached)
     {
-        this->set_reachable(true, "listed");
+        // A start would prolong the lease of the run that has to end.
+        const bool unresolved = this->has_unresolved_stop(now);
+        this->set_reachable(!unresolved,
+                            unresolved ? "stop not confirmed" : "listed");
     }
 }
 
@@ -271,7 +325,8 @@
     this->extend_lease_end(event_loop::now() + this->options.max_lease);
     this->channel->start(
         request,
-        [self = this->shared_from_this(), run](start_outcome outcome)
+        [self = this->shared_from_this(), run,
+         token = request.token](start_outcome outcome)
         {
             if (self->ended)
             {
@@ -281,9 +336,10 @@
             if (outcome == start_outcome::unanswered)
             {
                 self->schedule.on_request_unanswered(now);
+                self->raise_token();
             }
             self->dispatcher.on_start_result(self->id_value, run, outcome, now);
-            if (outcome == start_outcome::fenced)
+            if (outcome == start_outcome::fenced && token == self->token_value)
             {
                 self->fenced();
                 return;
@@ -302,9 +358,20 @@
 
 void server_session::stop(const run_id& run)
 {
+    this->open_stops.emplace(run, event_loop::now());
     this->stop(run, first_stop_backoff);
 }
 
+bool server_session::has_unresolved_stop(instant now)
+{
+    std::erase_if(
+        this->open_stops, [this](const auto& entry)
+        { return !this->dispatcher.has_run(this->id_value, entry.first); });
+    return std::any_of(this->open_stops.begin(), this->open_stops.end(),
+                       [now](const auto& entry)
+                       { return now - entry.second >= max_unresolved_stop; });
+}
+
 void server_session::stop(const run_id& run, milliseconds backoff)
 {
     if (this->ended)
@@ -321,6 +388,7 @@
             }
             if (confirmed)
             {
+                self->open_stops.erase(run);
                 self->dispatcher.on_stopped(self->id_value, run,
                                             event_loop::now());
                 return;
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -1,10 +1,27 @@
 #include "node_fixture.hpp"
+#include "peer_standin.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <list>
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 namespace jujubedrum
 {
 
+namespace
+{
+
+/// Enough peers for the intervals of links without jobs to grow.
+constexpr int many_peers = 30;
+/// 3.5 times this is 875 ms, so that tasks are stopped before the next attempt
+/// of a caller, 1.3 s after the failed one.
+constexpr milliseconds max_open_job_interval{250};
+
+} // namespace
+
 BOOST_FIXTURE_TEST_SUITE(dispatch_node_suite, node_fixture)
 
 BOOST_AUTO_TEST_CASE(job_at_any_instance_completes)
@@ -177,6 +194,72 @@
     BOOST_TEST(this->record.total_starts() == 1);
 }
 
+// Guards against counting an instance that has stopped as a live holder, since
+// it connected to the others again before its process ended.
+BOOST_AUTO_TEST_CASE(instance_stopped_not_linked_again)
+{
+    this->start_node("a");
+    this->start_node("b");
+    const auto peers_of_b = [this]
+    {
+        const auto state =
+            nlohmann::json::parse(this->nodes["b"]->node().dump());
+        return state["peers"].size();
+    };
+    BOOST_REQUIRE(this->wait([&] { return peers_of_b() == 1; }));
+    this->nodes["a"]->node().stop();
+    BOOST_REQUIRE(this->wait([&] { return peers_of_b() == 0; }));
+    const instant stopped = event_loop::now();
+    this->wait(
+        [&] {
+            return peers_of_b() > 0 ||
+                   event_loop::now() - stopped >= seconds(2);
+        });
+    BOOST_TEST(peers_of_b() == 0U);
+}
+
+// Guards against a refusal by a stopping holder, which lets another holder
+// start the job at once, of a job that it is still running.
+BOOST_AUTO_TEST_CASE(holder_draining_running_job_submitted_again_not_refused)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    peer_standin accepting(this->loop, "b", this->member_of("a"), {});
+    BOOST_REQUIRE(this->wait([&] { return accepting.linked(); }));
+    submit_message job = this->submission_of("0000000000000001", 1000);
+    accepting.send(job);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->nodes["a"]->node().drain();
+    job.ticket = 2;
+    accepting.send(job);
+    BOOST_REQUIRE(
+        this->wait([&] { return accepting.result_of(2).has_value(); }));
+    BOOST_CHECK(accepting.result_of(2)->outcome == job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 1);
+}
+
+// The same, when the run is being stopped.
+BOOST_AUTO_TEST_CASE(holder_draining_stopping_job_submitted_again_not_refused)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    peer_standin accepting(this->loop, "b", this->member_of("a"), {});
+    BOOST_REQUIRE(this->wait([&] { return accepting.linked(); }));
+    submit_message job = this->submission_of("0000000000000001", 60000);
+    accepting.send(job);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->servers["s1"]->drop_stop_requests(std::numeric_limits<int>::max());
+    this->nodes["a"]->node().drain();
+    accepting.send(cancel_message{job.request.id, "caller left"});
+    job.ticket = 2;
+    accepting.send(job);
+    BOOST_REQUIRE(
+        this->wait([&] { return accepting.result_of(2).has_value(); }));
+    BOOST_CHECK(accepting.result_of(2)->outcome == job_outcome::incomplete);
+}
+
 // The answer to a start is lost; the poll reply shows the run.
 BOOST_AUTO_TEST_CASE(start_answer_lost_task_runs_once)
 {
@@ -225,6 +308,64 @@
     BOOST_TEST(this->record.violations().empty());
 }
 
+// Guards against polls that renew the lease of a run which has to end: its
+// job's caller may submit it again elsewhere.
+BOOST_AUTO_TEST_CASE(stops_lost_cancelled_run_ends_with_its_lease)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->submit("a", "0000000000000001", 1, 60000, seconds(60));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->servers["s1"]->drop_stop_requests(std::numeric_limits<int>::max());
+    this->nodes["a"]->node().cancel("0000000000000001");
+    BOOST_CHECK(
+        this->wait([&] { return !this->record.runs("0000000000000001"); }));
+}
+
+// Guards against starts that prolong the lease of such a run.
+BOOST_AUTO_TEST_CASE(stops_lost_starts_do_not_prolong_cancelled_run)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->submit("a", "0000000000000001", 1, 60000, seconds(60));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->servers["s1"]->drop_stop_requests(std::numeric_limits<int>::max());
+    this->nodes["a"]->node().cancel("0000000000000001");
+    instant next_job = event_loop::now();
+    std::uint64_t jobs = 1;
+    BOOST_CHECK(this->wait(
+        [&]
+        {
+            if (event_loop::now() >= next_job)
+            {
+                next_job = event_loop::now() + milliseconds(50);
+                this->submit("a", "000000000000000x" + std::to_string(++jobs),
+                             1, 10);
+            }
+            return !this->record.runs("0000000000000001");
+        }));
+}
+
+// Guards against ending the other runs on a server for a short loss of stops.
+BOOST_AUTO_TEST_CASE(stops_lost_for_a_while_other_runs_kept)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->submit("a", "0000000000000001", 1, 60000, seconds(60));
+    this->submit("a", "0000000000000002", 1, 2500);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 2; }));
+    this->servers["s1"]->drop_stop_requests(4);
+    this->nodes["a"]->node().cancel("0000000000000001");
+    BOOST_REQUIRE(this->wait_for("0000000000000002"));
+    BOOST_CHECK(this->results["0000000000000002"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.starts_of("0000000000000002") == 1);
+    BOOST_TEST(!this->record.runs("0000000000000001"));
+}
+
 BOOST_AUTO_TEST_CASE(server_crashed_task_runs_elsewhere)
 {
     this->add_server("s1");
@@ -381,6 +522,213 @@
     BOOST_CHECK(event_loop::now() - healed >= seconds(5));
 }
 
+// Guards against tasks that outlive a caller's attempt: an accepting instance
+// that lost power was noticed only after 3.5 times up to 2 s, if its job had
+// been running for longer than 2 s.
+BOOST_AUTO_TEST_CASE(accepting_instance_job_open_holder_gets_short_interval)
+{
+    this->start_node("a");
+    std::list<peer_standin> peers;
+    for (int i = 1; i < many_peers; ++i)
+    {
+        peers.emplace_back(this->loop, "p" + std::to_string(i),
+                           this->member_of("a"), std::vector<pool_hold>{});
+    }
+    peer_standin& holder =
+        peers.emplace_back(this->loop, "holder", this->member_of("a"),
+                           std::vector<pool_hold>{{{"d9", 0}, 1024, true}});
+    BOOST_REQUIRE(this->wait(
+        [&]
+        {
+            return std::all_of(peers.begin(), peers.end(),
+                               [](const peer_standin& each)
+                               { return each.linked(); }) &&
+                   holder.announced_interval() > seconds(1);
+        }));
+    this->submit("a", "0000000000000001", 1, 6000);
+    BOOST_REQUIRE(this->wait([&] { return !holder.submissions().empty(); }));
+    BOOST_CHECK(holder.interval_at_submission() <= max_open_job_interval);
+    this->pass(peer_mesh::recent_traffic_window + seconds(1));
+    BOOST_CHECK(holder.announced_interval() <= max_open_job_interval);
+    holder.send(result_message{holder.submissions().front().ticket,
+                               {job_outcome::completed, "", milliseconds(0)},
+                               {}});
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(
+        this->wait([&] { return holder.announced_interval() > seconds(1); }));
+}
+
+// Guards against a job that waits 3.5 s for its holder to count as dead.
+BOOST_AUTO_TEST_CASE(holder_job_open_accepting_instance_gets_short_interval)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    std::list<peer_standin> peers;
+    for (int i = 0; i < many_peers; ++i)
+    {
+        peers.emplace_back(this->loop, "p" + std::to_string(i),
+                           this->member_of("a"), std::vector<pool_hold>{});
+    }
+    peer_standin& accepting = peers.back();
+    BOOST_REQUIRE(this->wait(
+        [&]
+        { return accepting.announced_interval() > max_open_job_interval; }));
+    accepting.send(this->submission_of("0000000000000001", 5000));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->pass(peer_mesh::recent_traffic_window + seconds(1));
+    BOOST_CHECK(accepting.announced_interval() <= max_open_job_interval);
+}
+
+// Guards against a start that is carried out by a restarted server, whose clock
+// has started anew, when the task runs elsewhere already.
+BOOST_AUTO_TEST_CASE(start_carried_out_after_restart_no_second_run)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->servers["s1"]->delay_starts(1, milliseconds(1500));
+    this->servers["s1"]->drop_stop_requests(1000);
+    this->submit("a", "0000000000000001", 1, 2500);
+    this->run_for(milliseconds(20));
+    this->servers["s1"]->crash();
+    this->servers["s1"]->set_full(true);
+    this->add_server("s2");
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->servers["s1"]->set_full(false);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.violations().empty());
+    BOOST_TEST(this->record.total_starts() == 1);
+}
+
+// Guards against a start whose time counts from when it is carried out, so that
+// the server does not refuse it as late.
+BOOST_AUTO_TEST_CASE(start_carried_out_late_with_shifted_time_no_second_run)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->servers["s1"]->set_late_times_shifted(true);
+    this->servers["s1"]->delay_starts(1, milliseconds(1500));
+    this->servers["s1"]->drop_stop_requests(1000);
+    this->submit("a", "0000000000000001", 1, 2500);
+    this->run_for(milliseconds(20));
+    this->servers["s1"]->set_full(true);
+    this->add_server("s2");
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->servers["s1"]->set_full(false);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.violations().empty());
+    BOOST_TEST(this->record.total_starts() == 1);
+}
+
+// The successor's derived token has to exceed every token that the earlier
+// holder raised its own to.
+BOOST_AUTO_TEST_CASE(store_down_successor_exceeds_raised_tokens)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    this->start_node("b");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["b"]->node().ready(); }));
+    for (int job = 1; job <= 4; ++job)
+    {
+        const std::string id = "000000000000000" + std::to_string(job);
+        this->servers["s1"]->drop_start_replies(1);
+        this->submit("b", id, 1, 100);
+        BOOST_REQUIRE(this->wait_for(id));
+    }
+    const std::uint64_t token = this->token_of("a");
+    this->store.set_fault(log_store_standin::fault::unresponsive);
+    this->nodes.erase("a");
+    BOOST_REQUIRE(this->wait_for_servers("b", 1));
+    BOOST_TEST(this->token_of("b") >= token + tokens_per_hold);
+    this->submit("b", "0000000000000005", 1, 30);
+    BOOST_REQUIRE(this->wait_for("0000000000000005"));
+    BOOST_CHECK(this->results["0000000000000005"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.violations().empty());
+}
+
+// Guards against losing the pool because a new session with a server begins
+// below the tokens that the last one used there.
+BOOST_AUTO_TEST_CASE(server_entry_returned_raised_token_kept)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    const std::uint64_t token = this->token_of("a");
+    this->servers["s1"]->drop_start_replies(1);
+    this->servers["s2"]->drop_start_replies(1);
+    this->submit("a", "0000000000000001", 4, 100);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    auto removed = std::move(this->servers["s1"]);
+    this->servers.erase("s1");
+    this->store.write_server("s1", "");
+    BOOST_REQUIRE(this->wait([&] { return this->sessions_of("a") == 1; }));
+    this->servers["s1"] = std::move(removed);
+    this->write_entry("s1");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    this->run_for(milliseconds(300));
+    BOOST_TEST(this->token_of("a") == token);
+}
+
+// Guards against a start of an earlier holder that is carried out after its
+// successor has taken over the server.
+BOOST_AUTO_TEST_CASE(start_of_earlier_holder_carried_out_late_no_second_run)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    this->start_node("b");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["b"]->node().ready(); }));
+    this->servers["s1"]->set_late_times_shifted(true);
+    this->servers["s1"]->delay_starts(1, milliseconds(2000));
+    this->submit("b", "0000000000000001", 1, 2500, milliseconds(15000));
+    this->run_for(milliseconds(20));
+    this->nodes.erase("a");
+    this->servers["s1"]->crash();
+    this->servers["s1"]->set_full(true);
+    this->add_server("s2");
+    BOOST_REQUIRE(this->wait_for_servers("b", 2));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->servers["s1"]->set_full(false);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 1);
+    BOOST_TEST(this->record.violations().empty());
+}
+
+// Guards against a renewal that prolongs the lease after later polls were
+// answered and the holder has counted the lease as ended.
+BOOST_AUTO_TEST_CASE(renewal_carried_out_late_no_second_run)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->servers["s1"]->set_late_times_shifted(true);
+    this->submit("a", "0000000000000001", 1, 3500, milliseconds(15000));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->add_server("s2");
+    // By then, polls wait less long than at an idle server.
+    this->run_for(milliseconds(500));
+    // By then, polls wait less long than at an idle server.
+    this->run_for(milliseconds(500));
+    this->servers["s1"]->delay_renewals(1, milliseconds(1500));
+    this->run_for(milliseconds(700));
+    this->servers["s1"]->set_unresponsive(true);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.violations().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubedrum
--- a/tests/unit/dispatch/node_fixture.hpp
+++ b/tests/unit/dispatch/node_fixture.hpp
@@ -45,20 +45,38 @@
     /// Returns whether the instance holds all pools of a failure domain.
     [[nodiscard]] bool holds_all_pools(const std::string& name);
     /// Submits a job whose tasks run for `run_ms`; its result is recorded.
-    void submit(const std::string& node, const std::string& job,
-                std::uint32_t tasks, int run_ms,
-                milliseconds time_left = milliseconds(8000));
+    /// Returns the job's ticket.
+    std::uint64_t submit(const std::string& node, const std::string& job,
+                         std::uint32_t tasks, int run_ms,
+                         milliseconds time_left = milliseconds(8000));
+    /// Returns the message that submits such a job over a link.
+    submit_message submission_of(const std::string& job, int run_ms,
+                                 std::uint32_t tasks = 1,
+                                 milliseconds time_left = milliseconds(8000));
     bool wait_for(const std::string& job);
     bool wait(const std::function<bool()>& condition);
+    /// Runs the event loop for this time.
+    void run_for(milliseconds time);
     [[nodiscard]] std::size_t servers_of(const std::string& name);
+    /// Returns the announcement of an instance for peers that do not read the
+    /// store.
+    [[nodiscard]] member_record member_of(const std::string& name);
+    /// Waits for the time, for what has to stay as it is.
+    void pass(milliseconds time);
+
+    /// Returns the number of servers that the instance has sessions with.
+    [[nodiscard]] std::size_t sessions_of(const std::string& name);
+    /// Returns the highest token of the pools that the instance holds.
+    [[nodiscard]] std::uint64_t token_of(const std::string& name);
 
     event_loop loop;
     log_store_standin store{loop};
     run_recorder record;
     std::map<std::string, std::unique_ptr<task_server_standin>> servers;
     std::map<std::string, std::string> domains;
-    std::map<std::string, std::unique_ptr<node_under_test>> nodes;
+    /// Declared before the instances, which answer open jobs when they stop.
     std::map<std::string, job_result> results;
+    std::map<std::string, std::unique_ptr<node_under_test>> nodes;
 
 private:
     void refresh_entries();
