Add failing tests of pools that are clean without their servers

A pool counts as clean when its holder has taken over every server that it knows. A server whose entry was removed is not among them, although an earlier holder may still have runs there: the successor of a stopping holder drops it after 2.5 s, and one that reads the list later never learns of it. The accepting instance then submits the job again at once (basis=pools_clean), while the run still has up to a second of lease.

--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -131,6 +131,57 @@
     BOOST_TEST(this->record.violations().empty());
 }
 
+// Guards against taking a pool as clean because the entry of a server on which
+// the stopping holder still has a run was removed.
+BOOST_AUTO_TEST_CASE(holder_stopped_server_entry_removed_runs_once)
+{
+    this->add_server("s1", "d1");
+    this->start_node("a", "d1");
+    this->start_node("b", "d1");
+    this->start_node("c", "d2");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["c"]->node().ready(); }));
+    this->submit("c", "0000000000000001", 1, 5500);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->add_server("s2", "d2");
+    BOOST_REQUIRE(this->wait_for_servers("c", 1));
+    this->nodes["a"]->node().drain();
+    BOOST_REQUIRE(this->wait([&] { return this->holds_all_pools("b"); }));
+    const auto unlisted = this->unlist_server("s1");
+    const instant removed = event_loop::now();
+    this->wait([removed]
+               { return event_loop::now() - removed >= milliseconds(3500); });
+    this->nodes.erase("a");
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_TEST(this->record.violations().empty());
+}
+
+// Guards against taking a pool as clean because the entry of a server was
+// removed before the successor of a killed holder read the list.
+BOOST_AUTO_TEST_CASE(holder_killed_server_unknown_to_successor_runs_once)
+{
+    this->add_server("s1", "d1");
+    this->start_node("a", "d1");
+    this->start_node("c", "d2");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["c"]->node().ready(); }));
+    this->submit("c", "0000000000000001", 1, 5500);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    const auto unlisted = this->unlist_server("s1");
+    this->add_server("s2", "d2");
+    this->add_server("s3", "d1");
+    BOOST_REQUIRE(this->wait_for_servers("c", 1));
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    this->start_node("b", "d1");
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["b"]->node().ready(); }));
+    const instant started = event_loop::now();
+    this->wait([started]
+               { return event_loop::now() - started >= milliseconds(1000); });
+    this->nodes.erase("a");
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_TEST(this->record.violations().empty());
+}
+
 // Guards against waiting for the takeover of a server that cannot be reached
 // although its last holder has ended and its leases with it.
 BOOST_AUTO_TEST_CASE(holder_restarted_server_cut_off_job_runs_after_lease)
--- a/tests/unit/dispatch/node_fixture.cpp
+++ b/tests/unit/dispatch/node_fixture.cpp
@@ -92,6 +92,15 @@
                              server.entry(this->domains[id], server.port()));
 }
 
+std::unique_ptr<task_server_standin>
+node_fixture::unlist_server(const std::string& id)
+{
+    auto server = std::move(this->servers.at(id));
+    this->servers.erase(id);
+    this->store.write_server(id, "");
+    return server;
+}
+
 std::size_t node_fixture::servers_of(const std::string& name)
 {
     const auto state = nlohmann::json::parse(this->nodes[name]->node().dump());
--- a/tests/unit/dispatch/node_fixture.hpp
+++ b/tests/unit/dispatch/node_fixture.hpp
@@ -40,6 +40,8 @@
     void start_node(const std::string& name, const std::string& domain = "d1");
     void add_server(const std::string& id, const std::string& domain = "d1");
     void write_entry(const std::string& id);
+    /// Removes the entry of a server, which goes on running.
+    std::unique_ptr<task_server_standin> unlist_server(const std::string& id);
     /// Waits until the instance holds at least this many reachable servers.
     bool wait_for_servers(const std::string& name, std::size_t count);
     /// Returns whether the instance holds all pools of a failure domain.
