Let one of two holders with equal tokens give the pool up

Two instances that cannot reach each other while the store does not answer may derive the same token for a pool. Servers accept both, each stops the runs of the other as unknown, and neither gave the pool up once they were linked again. The one with the greater name now does.

--- a/src/libjujubedrum/dispatch/pool_election.cpp
+++ b/src/libjujubedrum/dispatch/pool_election.cpp
@@ -178,13 +178,19 @@
     {
         const bool superseded = std::any_of(
             live.begin(), live.end(),
-            [&own](const instance_view& other)
+            [&self, &own](const instance_view& other)
             {
-                return std::any_of(other.holds.begin(), other.holds.end(),
-                                   [&own](const pool_hold& hold) {
-                                       return hold.pool == own.pool &&
-                                              hold.token > own.token;
-                                   });
+                // Two instances may derive the same token while they cannot
+                // reach each other and the store does not answer.
+                return std::any_of(
+                    other.holds.begin(), other.holds.end(),
+                    [&](const pool_hold& hold)
+                    {
+                        const bool wins_tie =
+                            hold.token == own.token && other.name < self.name;
+                        return hold.pool == own.pool &&
+                               (hold.token > own.token || wins_tie);
+                    });
             });
         if (superseded)
         {
--- a/src/libjujubedrum/dispatch/pool_election.hpp
+++ b/src/libjujubedrum/dispatch/pool_election.hpp
@@ -125,7 +125,7 @@
                   const std::vector<instance_view>& live, const pool_id& pool);
 
     /// Returns the pools of `self` that another instance holds with a higher
-    /// token.
+    /// token, or with the same one and a smaller name.
     [[nodiscard]] static std::vector<pool_id>
     pools_to_give_up(const instance_view& self,
                      const std::vector<instance_view>& live);
--- a/tests/unit/dispatch/pool_election_test.cpp
+++ b/tests/unit/dispatch/pool_election_test.cpp
@@ -168,6 +168,19 @@
     BOOST_TEST(!pool_election::all_clean(lost, {next}));
 }
 
+// Guards against two holders that keep a pool under the same derived token and
+// stop each other's runs.
+BOOST_AUTO_TEST_CASE(two_holders_with_equal_tokens_one_gives_up)
+{
+    instance_view a = make_instance("a", "d1");
+    instance_view b = make_instance("b", "d1");
+    a.holds = {{{"d1", 0}, 5, true}};
+    b.holds = a.holds;
+    const auto given_up = pool_election::pools_to_give_up(a, {b}).size() +
+                          pool_election::pools_to_give_up(b, {a}).size();
+    BOOST_TEST(given_up == 1U);
+}
+
 // A holder that only does not answer may still renew its leases.
 BOOST_AUTO_TEST_CASE(holder_restarted_or_without_its_pools_has_released_them)
 {
