--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -182,6 +182,29 @@
     BOOST_TEST(this->record.violations().empty());
 }
 
+// Guards against a job that waits at a stopping holder without a reachable
+// server until that holder exits, while its successor has free servers (part a
+// of the TWICE incident, seed 503).
+BOOST_AUTO_TEST_CASE(holder_stopping_lost_its_server_job_runs_elsewhere)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->start_node("c");
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["c"]->node().ready(); }));
+    this->submit("c", "0000000000000001", 1, 1500);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->add_server("s2");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    this->nodes["a"]->node().drain();
+    BOOST_REQUIRE(this->wait_for_servers("c", 1));
+    this->servers["s1"]->set_unresponsive(true);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.violations().empty());
+}
+
 // Guards against waiting for the takeover of a server that cannot be reached
 // although its last holder has ended and its leases with it.
 BOOST_AUTO_TEST_CASE(holder_restarted_server_cut_off_job_runs_after_lease)
