Keep servers that a stopping holder may still use

What callers could see: a task that runs on two servers. A successor dropped a server of which the entry had been missing for 2.5 s although it had left it to a stopping holder, so its pool was clean without it and the jobs of the stopping holder were submitted again at its exit.

Such a server is kept until it was released, or until the stopping holder has been killed at the end of its grace period and its leases have ended.

The reviewer also found that a half-open link left from an earlier boot of the holder counted as its restart.

--- a/src/libjujubedrum/dispatch/pool_election.cpp
+++ b/src/libjujubedrum/dispatch/pool_election.cpp
@@ -216,16 +216,6 @@
                        });
 }
 
-bool pool_election::has_released(const instance_view& before,
-                                 const instance_view& now)
-{
-    return before.name == now.name &&
-           (before.boot != now.boot ||
-            std::none_of(before.holds.begin(), before.holds.end(),
-                         [&now](const pool_hold& old)
-                         { return holds(now, old.pool); }));
-}
-
 bool pool_election::all_clean(const std::vector<pool_hold>& lost,
                               const std::vector<instance_view>& instances)
 {
--- a/src/libjujubedrum/dispatch/pool_election.hpp
+++ b/src/libjujubedrum/dispatch/pool_election.hpp
@@ -135,11 +135,6 @@
     [[nodiscard]] static bool same_holder(const instance_view& before,
                                           const instance_view& now);
 
-    /// Returns whether an instance has restarted since `before`, or given up
-    /// all pools that it held, and so renews no more leases on them.
-    [[nodiscard]] static bool has_released(const instance_view& before,
-                                           const instance_view& now);
-
     /// Returns whether every pool in `lost` has a holder with a higher token
     /// on whose servers no runs of earlier holders remain.
     [[nodiscard]] static bool
--- a/src/libruntime/node/job_router.cpp
+++ b/src/libruntime/node/job_router.cpp
@@ -28,9 +28,6 @@
 constexpr double drain_safety_factor = 2.5;
 /// Part of the grace period that is reserved for the last answers and the exit.
 constexpr milliseconds drain_margin{600};
-/// For requests of an earlier holder that are in transit when its leases
-/// expire.
-constexpr milliseconds lease_margin{100};
 
 std::uint64_t requested_cpu(const job_request& request)
 {
@@ -102,7 +99,7 @@
 void job_router::on_link_closed(std::uint64_t link, const instance_view& holder)
 {
     disconnected_holder disconnected{
-        holder, {}, event_loop::now(), std::nullopt};
+        link, holder, {}, event_loop::now(), std::nullopt};
     for (auto& [ticket, job] : this->open_jobs)
     {
         if (!job.local && job.link == link)
@@ -365,29 +362,44 @@
     }
 }
 
+bool job_router::has_restarted(const disconnected_holder& disconnected) const
+{
+    // A link that was opened earlier may be left from a boot before that of the
+    // holder, whose end has not been noticed.
+    return std::any_of(this->peers.upper_bound(disconnected.link),
+                       this->peers.end(),
+                       [&disconnected](const auto& entry)
+                       {
+                           const instance_view& peer = entry.second.instance;
+                           return peer.name == disconnected.instance.name &&
+                                  peer.boot != disconnected.instance.boot;
+                       });
+}
+
 std::optional<job_router::resubmission_basis>
 job_router::find_basis(disconnected_holder& disconnected,
                        const std::vector<instance_view>& instances) const
 {
     const instant now = event_loop::now();
-    for (const instance_view& instance : instances)
+    const bool rejoined = std::any_of(
+        instances.begin(), instances.end(),
+        [&disconnected](const instance_view& instance) {
+            return pool_election::same_holder(disconnected.instance, instance);
+        });
+    if (rejoined)
     {
-        if (pool_election::same_holder(disconnected.instance, instance))
-        {
-            return resubmission_basis::rejoined;
-        }
-        if (!disconnected.released &&
-            pool_election::has_released(disconnected.instance, instance))
-        {
-            disconnected.released = now;
-        }
+        return resubmission_basis::rejoined;
+    }
+    if (!disconnected.restarted && this->has_restarted(disconnected))
+    {
+        disconnected.restarted = now;
     }
     if (pool_election::all_clean(disconnected.instance.holds, instances))
     {
         return resubmission_basis::pools_clean;
     }
-    if (disconnected.released && now - *disconnected.released >
-                                     this->settings.max_lease() + lease_margin)
+    if (disconnected.restarted &&
+        now - *disconnected.restarted > this->settings.lease_expiry())
     {
         return resubmission_basis::leases_ended;
     }
--- a/src/libruntime/node/job_router.hpp
+++ b/src/libruntime/node/job_router.hpp
@@ -85,21 +85,25 @@
     /// A holder whose link closed, and the open jobs that were sent to it.
     struct disconnected_holder
     {
+        std::uint64_t link = 0;
         instance_view instance;
         std::set<std::uint64_t> tickets;
         instant since{0}; ///< when the link closed
-        /// When it was first seen to renew no more leases.
-        std::optional<instant> released;
+        /// When it was first seen to have restarted.
+        std::optional<instant> restarted;
     };
     /// Why no second run of a disconnected holder's job can overlap the first.
     enum class resubmission_basis
     {
         rejoined,     ///< the holder reconnected, and gets the job again
         pools_clean,  ///< successors took all its servers over
-        leases_ended, ///< the holder released its pools, and its leases ended
+        leases_ended, ///< the holder has restarted, and its leases have ended
     };
 
     void route_job(std::uint64_t ticket, open_job& job);
+    /// Returns whether a link to a later boot of the holder is open.
+    [[nodiscard]] bool
+    has_restarted(const disconnected_holder& disconnected) const;
     /// Returns why the jobs of a disconnected holder may be routed again; empty
     /// while runs of them may remain.
     [[nodiscard]] std::optional<resubmission_basis>
--- a/src/libruntime/node/node_settings.hpp
+++ b/src/libruntime/node/node_settings.hpp
@@ -22,6 +22,9 @@
     bool operator==(const endpoint&) const = default;
 };
 
+/// For clocks of servers that are slow by 2 % and requests in transit.
+constexpr milliseconds lease_margin{100};
+
 /// Settings of an instance on the users' platform.
 class node_settings
 {
@@ -67,6 +70,12 @@
     {
         return this->max_lease_value;
     }
+    /// Returns the time after the last renewal by which a lease has ended on
+    /// any server.
+    [[nodiscard]] milliseconds lease_expiry() const
+    {
+        return this->max_lease() + lease_margin;
+    }
     /// Returns the time from the request to stop until the process is killed.
     [[nodiscard]] milliseconds stop_grace_period() const
     {
--- a/src/libruntime/node/pool_manager.cpp
+++ b/src/libruntime/node/pool_manager.cpp
@@ -131,23 +131,29 @@
     for (const std::string& id : released.servers)
     {
         this->released_servers[link].insert(id);
-        this->end_handover(link, id);
+        const auto at = this->servers.find(id);
+        if (this->end_handover(link, id) && at != this->servers.end())
+        {
+            at->second.left_until = instant(0);
+        }
     }
     this->update_sessions();
 }
 
-void pool_manager::end_handover(std::uint64_t link, const std::string& server)
+bool pool_manager::end_handover(std::uint64_t link, const std::string& server)
 {
     const auto at = this->pending_handovers.find(server);
     if (at == this->pending_handovers.end())
     {
-        return;
+        return false;
     }
     at->second.links.erase(link);
-    if (at->second.links.empty())
+    if (!at->second.links.empty())
     {
-        this->pending_handovers.erase(at);
+        return false;
     }
+    this->pending_handovers.erase(at);
+    return true;
 }
 
 void pool_manager::drain()
@@ -471,16 +477,16 @@
     LOG(INFO) << "pool: taken; domain=" << pool.domain
               << " shard=" << pool.shard << " token=" << token
               << " store=" << (this->store_reachable ? "up" : "down");
-    const instant until =
-        event_loop::now() + this->settings.stop_grace_period() - release_margin;
-    for (const auto& [id, server] : this->servers)
+    const instant exit = event_loop::now() + this->settings.stop_grace_period();
+    for (auto& [id, server] : this->servers)
     {
         if (pool_of(server.info) == pool)
         {
             const auto links = this->users_of(id, pool);
             if (!links.empty())
             {
-                this->pending_handovers[id] = {links, until};
+                this->pending_handovers[id] = {links, exit - release_margin};
+                server.left_until = exit + this->settings.lease_expiry();
             }
         }
     }
@@ -598,7 +604,8 @@
             known.missing_since &&
             now - *known.missing_since > missing_entry_grace_period;
         const auto session = this->sessions.find(id);
-        if (expired && !this->dispatcher.has_runs(id))
+        if (expired && now >= known.left_until &&
+            !this->dispatcher.has_runs(id))
         {
             if (session != this->sessions.end())
             {
--- a/src/libruntime/node/pool_manager.hpp
+++ b/src/libruntime/node/pool_manager.hpp
@@ -111,6 +111,8 @@
         instant last_update{0}; ///< when its entry was last received
         /// When its entry was found removed; empty while there is one.
         std::optional<instant> missing_since;
+        /// Until then a stopping holder may have runs on it.
+        instant left_until{0};
     };
     /// When entries of the servers of a failure domain were received.
     struct entry_activity
@@ -128,8 +130,9 @@
     void on_domain_entry(const std::string& domain);
     /// Logs the held pools that have become clean, or no longer are.
     void log_clean_pools();
-    /// Removes a stopping instance from the handover of a server.
-    void end_handover(std::uint64_t link, const std::string& server);
+    /// Removes a stopping instance from the handover of a server. Returns
+    /// whether that was the last one.
+    bool end_handover(std::uint64_t link, const std::string& server);
     /// Returns whether enough is known of the other instances to claim pools.
     /// Remains true from then on.
     [[nodiscard]] bool ready_to_claim();
