Keep a job that is submitted again with its holder

What callers could see: two runs of a task at the same time (TWICE). A caller's connection broke, the accepting instance did not notice, and the next attempt reached the same instance while the job was still open.

Cause: the router treated the attempt as another job and chose a holder for it by the load of that moment. While the first holder went on, a second one started the job.

Change: the router continues an open job under the ticket of the new attempt. It goes to the same holder again, which knows it and only changes the receiver of its result, or waits on for a holder or for clean pools. The earlier attempt is answered as incomplete, on a connection that nobody reads. This comes before the check for a planned stop, since a refusal would lead the caller to another instance while the job runs.

Evidence, on the code before: dispatch_node_test.cpp(519): error: in "job_open_submitted_again_stays_ with_its_holder": check (one.submissions().empty() || other.submissions().empty()) has failed It passes now.

Not changed: the holder keeps the deadline of the first attempt, so the second may be answered 504 earlier than its own limit.

--- a/src/libruntime/node/job_router.cpp
+++ b/src/libruntime/node/job_router.cpp
@@ -3,6 +3,7 @@
 #include "logging.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace jujubedrum
 {
@@ -134,6 +135,15 @@
                                  job_callback done)
 {
     const std::uint64_t ticket = this->next_ticket++;
+    const auto earlier =
+        std::find_if(this->open_jobs.begin(), this->open_jobs.end(),
+                     [&request](const auto& entry)
+                     { return entry.second.request.id == request.id; });
+    if (earlier != this->open_jobs.end())
+    {
+        this->continue_job(earlier->first, ticket, terms, std::move(done));
+        return ticket;
+    }
     open_job job;
     job.request = std::move(request);
     job.terms = terms;
@@ -151,6 +161,39 @@
     return ticket;
 }
 
+void job_router::continue_job(std::uint64_t earlier, std::uint64_t ticket,
+                              const job_terms& terms, job_callback done)
+{
+    auto entry = this->open_jobs.extract(earlier);
+    entry.key() = ticket;
+    open_job& job = this->open_jobs.insert(std::move(entry)).position->second;
+    const job_callback earlier_done = std::exchange(job.done, std::move(done));
+    job.terms = terms;
+    job.accepted = event_loop::now();
+    this->counts.add("job_continued");
+    LOG(INFO) << "job: continued for the caller's next attempt; id="
+              << job.request.id << " holder=" << job.holder;
+    bool sent = true;
+    if (this->unrouted.erase(earlier) > 0)
+    {
+        this->unrouted.insert(ticket);
+        sent = false;
+    }
+    for (disconnected_holder& disconnected : this->disconnected_holders)
+    {
+        if (disconnected.tickets.erase(earlier) > 0)
+        {
+            disconnected.tickets.insert(ticket);
+            sent = false;
+        }
+    }
+    if (sent)
+    {
+        this->send_to_holder(ticket, job);
+    }
+    earlier_done({job_outcome::incomplete, "submitted again", milliseconds(0)});
+}
+
 bool job_router::ends_before_stop(const job_request& request,
                                   const job_terms& terms) const
 {
@@ -214,19 +257,29 @@
     if (job.local)
     {
         job.holder = this->settings.instance();
-        job.tried_holders.insert(job.holder);
+    }
+    else
+    {
+        heartbeat_message& chosen = this->peers[*best];
+        chosen.load.waiting_cpu += cpu; // until its next heartbeat
+        job.holder = chosen.instance.name;
+    }
+    job.tried_holders.insert(job.holder);
+    this->send_to_holder(ticket, job);
+}
+
+void job_router::send_to_holder(std::uint64_t ticket, const open_job& job)
+{
+    if (job.local)
+    {
         // The dispatcher may answer inside this call, which erases `job`.
         const job_request request = job.request;
         const job_terms terms = this->remaining_terms(job);
         this->dispatcher.submit(request, terms, {0, ticket}, event_loop::now());
         return;
     }
-    heartbeat_message& chosen = this->peers[*best];
-    chosen.load.waiting_cpu += cpu; // until its next heartbeat
-    job.holder = chosen.instance.name;
-    job.tried_holders.insert(job.holder);
-    this->mesh.send(
-        *best, submit_message{ticket, job.request, this->remaining_terms(job)});
+    this->mesh.send(job.link, submit_message{ticket, job.request,
+                                             this->remaining_terms(job)});
 }
 
 void job_router::defer_or_refuse(std::uint64_t ticket, const open_job& job)
--- a/src/libruntime/node/job_router.hpp
+++ b/src/libruntime/node/job_router.hpp
@@ -34,8 +34,10 @@
                peer_mesh& links, pool_dispatcher& local,
                metrics_registry& registry, event_counts& events);
 
-    /// Routes a job. `done` is called once, possibly before this returns.
-    /// Returns the ticket that identifies the job here.
+    /// Routes a job. If it is open already, it stays with its holder, and the
+    /// caller's earlier attempt is answered as incomplete. `done` is called
+    /// once, possibly before this returns. Returns the ticket that identifies
+    /// the job here.
     std::uint64_t submit(job_request request, const job_terms& terms,
                          job_callback done);
     /// The caller disconnected before the answer: cancels its job. `done` is
@@ -91,6 +93,10 @@
     };
 
     void route_job(std::uint64_t ticket, open_job& job);
+    void send_to_holder(std::uint64_t ticket, const open_job& job);
+    /// Continues an open job for the caller's next attempt, under a new ticket.
+    void continue_job(std::uint64_t earlier, std::uint64_t ticket,
+                      const job_terms& terms, job_callback done);
     /// Routes the jobs of a disconnected holder again.
     /// \param rejoined whether the holder reconnected; its jobs go to it alone.
     void resubmit(const disconnected_holder& disconnected, bool rejoined);
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -462,6 +462,49 @@
         this->wait([&] { return holder.announced_interval() > seconds(1); }));
 }
 
+// Guards against two holders with the same job: the instance had not noticed
+// that the connection of the caller's earlier attempt was broken.
+BOOST_AUTO_TEST_CASE(job_open_submitted_again_stays_with_its_holder)
+{
+    this->start_node("a");
+    std::list<peer_standin> holders;
+    for (std::uint32_t i = 0; i < 2; ++i)
+    {
+        holders.emplace_back(this->loop, "h" + std::to_string(i),
+                             this->member_of("a"),
+                             std::vector<pool_hold>{{{"d9", i}, 1024, true}});
+    }
+    peer_standin& one = holders.front();
+    peer_standin& other = holders.back();
+    BOOST_REQUIRE(this->wait([&] { return one.linked() && other.linked(); }));
+    const submit_message job = this->submission_of("0000000000000001", 6000, 8);
+    const auto submit = [&](const std::string& attempt)
+    {
+        return this->nodes["a"]->node().submit(
+            job.request, job.terms,
+            [this, attempt](const job_result& result)
+            { this->results[attempt] = result; });
+    };
+    const auto submissions = [&]
+    { return one.submissions().size() + other.submissions().size(); };
+    const std::uint64_t earlier = submit("first");
+    BOOST_REQUIRE(this->wait([&] { return submissions() == 1; }));
+    peer_standin& holder = one.submissions().empty() ? other : one;
+    holder.announce_no_capacity();
+    this->pass(milliseconds(200));
+    submit("second");
+    BOOST_REQUIRE(this->wait([&] { return submissions() == 2; }));
+    BOOST_TEST((one.submissions().empty() || other.submissions().empty()));
+    BOOST_CHECK(this->wait_for("first"));
+    BOOST_CHECK(this->results["first"].outcome == job_outcome::incomplete);
+    this->nodes["a"]->node().on_caller_disconnected(earlier);
+    holder.send(result_message{holder.submissions().back().ticket,
+                               {job_outcome::completed, "", milliseconds(0)},
+                               {}});
+    BOOST_REQUIRE(this->wait_for("second"));
+    BOOST_CHECK(this->results["second"].outcome == job_outcome::completed);
+}
+
 // Guards against a job that waits 3.5 s for its holder to count as dead.
 BOOST_AUTO_TEST_CASE(holder_job_open_accepting_instance_gets_short_interval)
 {
--- a/tests/unit/dispatch/peer_standin.cpp
+++ b/tests/unit/dispatch/peer_standin.cpp
@@ -13,6 +13,7 @@
 /// Failure domain of the stand-ins, so that their links are not prioritized.
 constexpr const char* other_domain = "d9";
 constexpr std::uint64_t free_cpu = 64000;
+constexpr double mean_run_ms = 1000;
 
 } // namespace
 
@@ -22,14 +23,22 @@
     : mesh(loop, {name, "127.0.0.1", 0, 1, other_domain, 1000}, *this)
 {
     const std::uint64_t cpu = holds.empty() ? 0 : free_cpu;
-    this->mesh.set_heartbeat(
-        {{name, 1, other_domain, 1000, false, std::move(holds)},
-         {cpu, cpu, 0, 1},
-         milliseconds(0)});
+    this->own = {{name, 1, other_domain, 1000, false, std::move(holds)},
+                 {cpu, cpu, 0, mean_run_ms},
+                 milliseconds(0)};
+    this->mesh.set_heartbeat(this->own);
     BOOST_REQUIRE(this->mesh.listen("127.0.0.1", free_port(loop, "127.0.0.1")));
     this->mesh.on_members({tested});
 }
 
+void peer_standin::announce_no_capacity()
+{
+    this->own.load.free_cpu = 0;
+    this->own.load.waiting_cpu = this->own.load.total_cpu;
+    this->mesh.set_heartbeat(this->own);
+    this->mesh.send_heartbeat();
+}
+
 void peer_standin::send(const dispatch_message& message)
 {
     BOOST_REQUIRE(this->link);
--- a/tests/unit/dispatch/peer_standin.hpp
+++ b/tests/unit/dispatch/peer_standin.hpp
@@ -43,6 +43,8 @@
     /// Returns the first result that arrived for a ticket.
     [[nodiscard]] std::optional<job_result>
     result_of(std::uint64_t ticket) const;
+    /// Sends heartbeats without free capacity from now on.
+    void announce_no_capacity();
     /// Sends a message. Requires a link.
     void send(const dispatch_message& message);
 
@@ -60,6 +62,7 @@
 
 private:
     peer_mesh mesh;
+    heartbeat_message own;
     std::optional<std::uint64_t> link;
     milliseconds last_interval{0};
     milliseconds submission_interval{0};
