Cancel only the attempt whose caller left

What callers could see: 504 for an attempt whose job was running well.

Cause: a job that is submitted again through another instance keeps its runs and gets a new receiver of the result. If the first instance noticed the broken connection of its caller only then, its cancel message, which names the job alone, ended the job for the second one.

Change: the cancel message of a caller that left carries the ticket of the attempt, and the holder ignores it once a later attempt waits for the job. A DELETE has ticket 0 and ends the job in any case.

Evidence, on the code before: dispatch_node_test.cpp(484): error: in "holder_earlier_caller_left_ late_next_attempt_completes": check second.result_of(2)->outcome == job_outcome::completed has failed It passes now.

Ruled out: the loss of the first instance. `cancel_origin` already ends only jobs whose result that instance still waits for.

Not changed: the first instance is not told that another one took its job, so it keeps the job open until it notices the broken connection.

--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -541,6 +541,17 @@
     return true;
 }
 
+void pool_dispatcher::cancel_attempt(const std::string& id,
+                                     const job_origin& attempt,
+                                     std::string_view reason, instant now)
+{
+    const auto at = this->jobs.find(id);
+    if (at != this->jobs.end() && at->second->origin == attempt)
+    {
+        this->cancel(id, reason, now);
+    }
+}
+
 void pool_dispatcher::cancel_origin(std::uint64_t instance,
                                     std::string_view reason, instant now)
 {
--- a/src/libjujubedrum/dispatch/pool_dispatcher.hpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.hpp
@@ -82,6 +82,9 @@
     /// Ends a job that its caller no longer waits for as incomplete.
     /// \return false if no such job is open.
     bool cancel(const std::string& job, std::string_view reason, instant now);
+    /// Cancels a job unless a later attempt than this one waits for it.
+    void cancel_attempt(const std::string& job, const job_origin& attempt,
+                        std::string_view reason, instant now);
     /// Cancels the open jobs that an instance submitted.
     void cancel_origin(std::uint64_t instance, std::string_view reason,
                        instant now);
--- a/src/libruntime/node/dispatch.capnp
+++ b/src/libruntime/node/dispatch.capnp
@@ -67,6 +67,7 @@
 struct Cancel {
   id @0 :Text;
   reason @1 :Text;
+  ticket @2 :UInt64;  # of the sender; 0: every attempt
 }
 
 struct Release {
--- a/src/libruntime/node/dispatch.capnp.h
+++ b/src/libruntime/node/dispatch.capnp.h
@@ -130,7 +130,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(82ec048440570a08, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(82ec048440570a08, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -903,6 +903,8 @@
   inline bool hasReason() const;
   inline  ::capnp::Text::Reader getReason() const;
 
+  inline  ::uint64_t getTicket() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -945,6 +947,9 @@
   inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownReason();
 
+  inline  ::uint64_t getTicket();
+  inline void setTicket( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2124,6 +2129,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Cancel::Reader::getTicket() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Cancel::Builder::getTicket() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Cancel::Builder::setTicket( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Release::Reader::hasServers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -124,7 +124,7 @@
     LOG(INFO) << "job: cancelled; id=" << job;
     const bool here =
         this->dispatcher.cancel(job, "cancelled", event_loop::now());
-    this->mesh.broadcast(cancel_message{job, "cancelled"});
+    this->mesh.broadcast(cancel_message{job, "cancelled", 0});
     return here;
 }
 
@@ -202,8 +202,15 @@
     }
     if (const auto* cancelled = std::get_if<cancel_message>(&message))
     {
-        this->dispatcher.cancel(cancelled->id, cancelled->reason,
-                                event_loop::now());
+        if (cancelled->ticket == 0)
+        {
+            this->dispatcher.cancel(cancelled->id, cancelled->reason,
+                                    event_loop::now());
+            return;
+        }
+        this->dispatcher.cancel_attempt(cancelled->id,
+                                        {link, cancelled->ticket},
+                                        cancelled->reason, event_loop::now());
         return;
     }
     if (const auto* released = std::get_if<release_message>(&message))
--- a/src/libruntime/node/job_router.cpp
+++ b/src/libruntime/node/job_router.cpp
@@ -376,11 +376,12 @@
     LOG(INFO) << "job: caller left; id=" << job.request.id;
     if (job.local)
     {
-        this->dispatcher.cancel(job.request.id, "caller left",
-                                event_loop::now());
+        this->dispatcher.cancel_attempt(job.request.id, {0, ticket},
+                                        "caller left", event_loop::now());
         return;
     }
-    this->mesh.send(job.link, cancel_message{job.request.id, "caller left"});
+    this->mesh.send(job.link,
+                    cancel_message{job.request.id, "caller left", ticket});
 }
 
 void job_router::resubmit_orphaned_jobs(const instance_view& self)
--- a/src/libruntime/node/peer_message.cpp
+++ b/src/libruntime/node/peer_message.cpp
@@ -182,6 +182,7 @@
         auto cancel = this->out.initCancel();
         cancel.setId(in.id);
         cancel.setReason(in.reason);
+        cancel.setTicket(in.ticket);
     }
     void operator()(const release_message& in)
     {
@@ -206,7 +207,8 @@
         return get_result(in.getResult());
     case Message::CANCEL:
         return cancel_message{in.getCancel().getId(),
-                              in.getCancel().getReason()};
+                              in.getCancel().getReason(),
+                              in.getCancel().getTicket()};
     case Message::RELEASE:
     {
         release_message out;
--- a/src/libruntime/node/peer_message.hpp
+++ b/src/libruntime/node/peer_message.hpp
@@ -39,10 +39,14 @@
     bool operator==(const result_message&) const = default;
 };
 
+/// Cancels a job at its holder.
 struct cancel_message
 {
     std::string id;
     std::string reason;
+    /// Ticket of the attempt that ended at the sender. A job that a later
+    /// attempt waits for goes on. 0 cancels the job in any case.
+    std::uint64_t ticket = 0;
     bool operator==(const cancel_message&) const = default;
 };
 
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -156,7 +156,7 @@
     BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
     this->servers["s1"]->drop_stop_requests(std::numeric_limits<int>::max());
     this->nodes["a"]->node().drain();
-    accepting.send(cancel_message{job.request.id, "caller left"});
+    accepting.send(cancel_message{job.request.id, "caller left", job.ticket});
     job.ticket = 2;
     accepting.send(job);
     BOOST_REQUIRE(
@@ -462,6 +462,28 @@
         this->wait([&] { return holder.announced_interval() > seconds(1); }));
 }
 
+// Guards against a late report of an earlier attempt that ends the next one.
+BOOST_AUTO_TEST_CASE(holder_earlier_caller_left_late_next_attempt_completes)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    peer_standin first(this->loop, "b", this->member_of("a"), {});
+    peer_standin second(this->loop, "c", this->member_of("a"), {});
+    BOOST_REQUIRE(
+        this->wait([&] { return first.linked() && second.linked(); }));
+    submit_message job = this->submission_of("0000000000000001", 1000);
+    first.send(job);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    job.ticket = 2;
+    second.send(job);
+    this->pass(milliseconds(200));
+    first.send(cancel_message{job.request.id, "caller left", 1});
+    BOOST_REQUIRE(this->wait([&] { return second.result_of(2).has_value(); }));
+    BOOST_CHECK(second.result_of(2)->outcome == job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 1);
+}
+
 // Guards against two holders with the same job: the instance had not noticed
 // that the connection of the caller's earlier attempt was broken.
 BOOST_AUTO_TEST_CASE(job_open_submitted_again_stays_with_its_holder)
--- a/tests/unit/dispatch/peer_message_test.cpp
+++ b/tests/unit/dispatch/peer_message_test.cpp
@@ -54,7 +54,7 @@
         heartbeat,
         result_message{
             5, {job_outcome::refused, "busy", milliseconds(200)}, {1, 2, 3, 4}},
-        cancel_message{"id", "left"}, release_message{{"s1", "s2"}}};
+        cancel_message{"id", "left", 7}, release_message{{"s1", "s2"}}};
     for (const dispatch_message& message : messages)
     {
         BOOST_CHECK(copy_of(message) == message);
