--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -326,7 +326,7 @@
     BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
     this->servers["s1"]->drop_stop_requests(std::numeric_limits<int>::max());
     this->nodes["a"]->node().drain();
-    accepting.send(cancel_message{job.request.id, "caller left"});
+    accepting.send(cancel_message{job.request.id, "caller left", job.ticket});
     job.ticket = 2;
     accepting.send(job);
     BOOST_REQUIRE(
@@ -632,6 +632,71 @@
         this->wait([&] { return holder.announced_interval() > seconds(1); }));
 }
 
+// Guards against a late report of an earlier attempt that ends the next one.
+BOOST_AUTO_TEST_CASE(holder_earlier_caller_left_late_next_attempt_completes)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    peer_standin first(this->loop, "b", this->member_of("a"), {});
+    peer_standin second(this->loop, "c", this->member_of("a"), {});
+    BOOST_REQUIRE(
+        this->wait([&] { return first.linked() && second.linked(); }));
+    submit_message job = this->submission_of("0000000000000001", 1000);
+    first.send(job);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    job.ticket = 2;
+    second.send(job);
+    this->pass(milliseconds(200));
+    first.send(cancel_message{job.request.id, "caller left", 1});
+    BOOST_REQUIRE(this->wait([&] { return second.result_of(2).has_value(); }));
+    BOOST_CHECK(second.result_of(2)->outcome == job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 1);
+}
+
+// Guards against two holders with the same job: the instance had not noticed
+// that the connection of the caller's earlier attempt was broken.
+BOOST_AUTO_TEST_CASE(job_open_submitted_again_stays_with_its_holder)
+{
+    this->start_node("a");
+    std::list<peer_standin> holders;
+    for (std::uint32_t i = 0; i < 2; ++i)
+    {
+        holders.emplace_back(this->loop, "h" + std::to_string(i),
+                             this->member_of("a"),
+                             std::vector<pool_hold>{{{"d9", i}, 1024, true}});
+    }
+    peer_standin& one = holders.front();
+    peer_standin& other = holders.back();
+    BOOST_REQUIRE(this->wait([&] { return one.linked() && other.linked(); }));
+    const submit_message job = this->submission_of("0000000000000001", 6000, 8);
+    const auto submit = [&](const std::string& attempt)
+    {
+        return this->nodes["a"]->node().submit(
+            job.request, job.terms,
+            [this, attempt](const job_result& result)
+            { this->results[attempt] = result; });
+    };
+    const auto submissions = [&]
+    { return one.submissions().size() + other.submissions().size(); };
+    const std::uint64_t earlier = submit("first");
+    BOOST_REQUIRE(this->wait([&] { return submissions() == 1; }));
+    peer_standin& holder = one.submissions().empty() ? other : one;
+    holder.announce_no_capacity();
+    this->pass(milliseconds(200));
+    submit("second");
+    BOOST_REQUIRE(this->wait([&] { return submissions() == 2; }));
+    BOOST_TEST((one.submissions().empty() || other.submissions().empty()));
+    BOOST_CHECK(this->wait_for("first"));
+    BOOST_CHECK(this->results["first"].outcome == job_outcome::incomplete);
+    this->nodes["a"]->node().on_caller_disconnected(earlier);
+    holder.send(result_message{holder.submissions().back().ticket,
+                               {job_outcome::completed, "", milliseconds(0)},
+                               {}});
+    BOOST_REQUIRE(this->wait_for("second"));
+    BOOST_CHECK(this->results["second"].outcome == job_outcome::completed);
+}
+
 // Guards against a job that waits 3.5 s for its holder to count as dead.
 BOOST_AUTO_TEST_CASE(holder_job_open_accepting_instance_gets_short_interval)
 {
