--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -172,13 +172,17 @@
 {
     if (const auto* submitted = std::get_if<submit_message>(&message))
     {
-        if (this->draining)
+        const std::string& id = submitted->request.id;
+        if (this->draining && !this->dispatcher.is_open(id))
         {
-            this->mesh.send(link,
-                            result_message{submitted->ticket,
-                                           {job_outcome::refused, "stopping",
-                                            stopping_retry_after},
-                                           {}});
+            // After a refusal another holder may start the job at once.
+            const job_outcome outcome = this->dispatcher.has_job(id)
+                                            ? job_outcome::incomplete
+                                            : job_outcome::refused;
+            this->mesh.send(link, result_message{submitted->ticket,
+                                                 {outcome, "stopping",
+                                                  stopping_retry_after},
+                                                 {}});
             return;
         }
         this->dispatcher.submit(submitted->request, submitted->terms,
@@ -203,7 +207,7 @@
     }
     if (const auto* released = std::get_if<release_message>(&message))
     {
-        this->pools.on_release(*released);
+        this->pools.on_release(link, *released);
     }
 }
 
@@ -235,6 +239,13 @@
     this->pools.elect();
 }
 
+std::set<std::uint64_t> dispatch_node::links_with_open_jobs() const
+{
+    std::set<std::uint64_t> links = this->dispatcher.open_job_origins();
+    links.merge(this->router.links_with_open_jobs());
+    return links;
+}
+
 void dispatch_node::on_configuration(route_document document)
 {
     const std::uint64_t version = document.version;
--- a/src/libruntime/node/pool_manager.cpp
+++ b/src/libruntime/node/pool_manager.cpp
@@ -21,9 +21,6 @@
 /// derived while the store does not answer. Tokens stay below 2^53, up to which
 /// JSON numbers are exact, for 2^25 numbers from the store.
 constexpr std::uint64_t tokens_per_fence = 1024 * tokens_per_hold;
-/// For requests of an earlier holder that are in transit when its leases
-/// expire.
-constexpr milliseconds lease_margin{100};
 /// Entries that expired while the store was unreachable are rewritten within
 /// 2 s, so a server is removed only after this time without one.
 constexpr milliseconds missing_entry_grace_period{2500};
@@ -67,22 +64,22 @@
 {
     for (auto& [pool, hold] : this->held)
     {
-        const bool clean = this->is_clean(pool, hold);
+        const bool clean = this->is_clean(pool);
         if (clean == hold.logged_clean)
         {
             continue;
         }
         hold.logged_clean = clean;
         std::size_t known = 0;
-        std::size_t attached = 0;
+        std::size_t taken_over = 0;
         for (const auto& [id, server] : this->servers)
         {
             if (pool_of(server.info) == pool)
             {
                 ++known;
                 const auto at = this->sessions.find(id);
-                attached +=
-                    at != this->sessions.end() && at->second->is_attached();
+                taken_over +=
+                    at != this->sessions.end() && at->second->is_taken_over();
             }
         }
         const auto age = std::chrono::duration_cast<milliseconds>(
@@ -90,7 +87,7 @@
         LOG(INFO) << "pool: " << (clean ? "clean" : "not clean")
                   << "; domain=" << pool.domain << " shard=" << pool.shard
                   << " token=" << hold.token << " age_ms=" << age.count()
-                  << " servers=" << known << " attached=" << attached
+                  << " servers=" << known << " taken_over=" << taken_over
                   << " handovers=" << this->pending_handovers.size();
     }
 }
@@ -119,24 +116,56 @@
 
 void pool_manager::on_link_closed(std::uint64_t link)
 {
-    std::erase_if(this->pending_handovers, [link](const auto& entry)
-                  { return entry.second.link == link; });
+    this->released_servers.erase(link);
+    for (const auto& [id, server] : this->servers)
+    {
+        this->end_handover(link, id);
+    }
     this->update_sessions();
     this->elect();
 }
 
-void pool_manager::on_release(const release_message& released)
+void pool_manager::on_release(std::uint64_t link,
+                              const release_message& released)
 {
     for (const std::string& id : released.servers)
     {
-        this->pending_handovers.erase(id);
+        this->released_servers[link].insert(id);
+        this->end_handover(link, id);
     }
     this->update_sessions();
 }
 
+void pool_manager::end_handover(std::uint64_t link, const std::string& server)
+{
+    const auto at = this->pending_handovers.find(server);
+    if (at == this->pending_handovers.end())
+    {
+        return;
+    }
+    at->second.links.erase(link);
+    if (at->second.links.empty())
+    {
+        this->pending_handovers.erase(at);
+    }
+}
+
 void pool_manager::drain()
 {
     this->draining = true;
+    release_message unused;
+    for (const auto& [id, server] : this->servers)
+    {
+        if (this->held.count(pool_of(server.info)) > 0 &&
+            this->sessions.count(id) == 0)
+        {
+            unused.servers.push_back(id);
+        }
+    }
+    if (!unused.servers.empty())
+    {
+        this->mesh.broadcast(unused);
+    }
 }
 
 void pool_manager::stop()
@@ -166,18 +195,13 @@
     view.draining = this->draining;
     for (const auto& [pool, hold] : this->held)
     {
-        view.holds.push_back({pool, hold.token, this->is_clean(pool, hold)});
+        view.holds.push_back({pool, hold.token, this->is_clean(pool)});
     }
     return view;
 }
 
-bool pool_manager::is_clean(const pool_id& pool, const held_pool& hold) const
+bool pool_manager::is_clean(const pool_id& pool) const
 {
-    if (event_loop::now() - hold.taken >
-        this->settings.max_lease() + lease_margin)
-    {
-        return true;
-    }
     return std::all_of(this->servers.begin(), this->servers.end(),
                        [this, &pool](const auto& entry)
                        {
@@ -187,7 +211,7 @@
                            }
                            const auto at = this->sessions.find(entry.first);
                            return at != this->sessions.end() &&
-                                  at->second->is_attached();
+                                  at->second->is_taken_over();
                        });
 }
 
@@ -447,21 +471,16 @@
     LOG(INFO) << "pool: taken; domain=" << pool.domain
               << " shard=" << pool.shard << " token=" << token
               << " store=" << (this->store_reachable ? "up" : "down");
-    const instant now = event_loop::now();
-    for (const auto& [link, peer] : this->peers)
+    const instant until =
+        event_loop::now() + this->settings.stop_grace_period() - release_margin;
+    for (const auto& [id, server] : this->servers)
     {
-        if (!peer.instance.draining ||
-            !pool_election::holds(peer.instance, pool))
-        {
-            continue;
-        }
-        for (const auto& [id, server] : this->servers)
+        if (pool_of(server.info) == pool)
         {
-            if (pool_of(server.info) == pool)
+            const auto links = this->users_of(id, pool);
+            if (!links.empty())
             {
-                this->pending_handovers[id] = {
-                    link,
-                    now + this->settings.stop_grace_period() - release_margin};
+                this->pending_handovers[id] = {links, until};
             }
         }
     }
@@ -469,6 +488,24 @@
     this->holds_changed();
 }
 
+std::set<std::uint64_t> pool_manager::users_of(const std::string& server,
+                                               const pool_id& pool) const
+{
+    std::set<std::uint64_t> result;
+    for (const auto& [link, peer] : this->peers)
+    {
+        const auto released = this->released_servers.find(link);
+        if (peer.instance.draining &&
+            pool_election::holds(peer.instance, pool) &&
+            (released == this->released_servers.end() ||
+             released->second.count(server) == 0))
+        {
+            result.insert(link);
+        }
+    }
+    return result;
+}
+
 void pool_manager::give_up(const pool_id& pool, const std::string& reason)
 {
     if (this->held.erase(pool) == 0)
--- a/src/libruntime/node/server_session.hpp
+++ b/src/libruntime/node/server_session.hpp
@@ -6,6 +6,7 @@
 #include "node/platform_ports.hpp"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -69,9 +70,9 @@
     void on_entry(std::uint64_t entry_incarnation);
     /// Returns the first token for the next session of the same hold.
     [[nodiscard]] std::uint64_t next_token() const;
-    /// Returns whether the takeover is complete: a poll reply has shown no runs
-    /// of earlier holders.
-    [[nodiscard]] bool is_attached() const { return this->attached; }
+    /// Returns whether the server was taken over: it refuses earlier holders,
+    /// and a poll reply has shown none of their runs.
+    [[nodiscard]] bool is_taken_over() const { return this->taken_over; }
     [[nodiscard]] bool is_reachable() const { return this->reachable; }
     [[nodiscard]] const std::string& id() const { return this->id_value; }
 
@@ -95,11 +96,15 @@
     /// confirm it.
     void stop(const run_id& run, milliseconds backoff);
     void repeat_stop(const run_id& run);
+    /// Returns whether a run that has to end may go on because its stop was not
+    /// confirmed in time. The lease of the server is not renewed then.
+    bool has_unresolved_stop(instant now);
     void on_poll_reply(const poll_reply& reply, const sent_poll& sent);
     void on_extra_poll_reply(const poll_reply& reply, const sent_poll& sent);
     /// Accounts for an unanswered request that may still take effect, and
     /// raises the token, so that it no longer can once a later poll is
-    /// answered. \param lease that the request grants when it is carried out.
+    /// answered.
+    /// \param lease that the request grants when it is carried out.
     void on_unsettled(milliseconds lease);
     void raise_token();
     /// Resets the acknowledged number and the clock offset after a restart.
@@ -123,7 +128,9 @@
     pool_dispatcher& dispatcher;
     std::function<void()> fenced;
     bool ended = false;
-    bool attached = false; ///< takeover is complete
+    /// No unknown run was in the last poll reply; reset when the lease ends.
+    bool attached = false;
+    bool taken_over = false; ///< has been attached
     bool reachable = false;
     bool extra_poll = false;
     std::uint64_t acknowledged = 0;
@@ -136,6 +143,9 @@
     milliseconds late_lease{0};
     instant last_unanswered_start{0};
     poll_schedule schedule;
+    /// When the stop of a run was first requested, until it is confirmed or the
+    /// run has ended.
+    std::map<run_id, instant> open_stops;
 };
 
 } // namespace jujubedrum
