--- a/src/libruntime/node/server_session.cpp
+++ b/src/libruntime/node/server_session.cpp
@@ -85,11 +85,11 @@
     request.token = this->token_value;
     request.acknowledged = this->acknowledged;
     request.wait = wait;
-    // A server that timed out may not come back. Its tasks can run elsewhere
-    // only after its lease has expired, so polls do not renew the lease. The
-    // same holds for a run that cannot be stopped.
-    if (this->attached && this->clock_offset &&
-        !this->schedule.timed_out(event_loop::now()) &&
+    // A server that does not answer may not come back. Its tasks can run
+    // elsewhere only after its lease has expired, which each unanswered renewal
+    // delays, since it may be carried out late. So at most one is unanswered.
+    // Nor is the lease of a run renewed that cannot be stopped.
+    if (this->attached && this->clock_offset && this->schedule.answering() &&
         !this->has_unresolved_stop(event_loop::now()))
     {
         request.lease_until = this->server_now() + this->options.max_lease;
@@ -135,6 +135,12 @@
     return next % tokens_per_hold == 0 ? this->token_value : next;
 }
 
+void server_session::on_unsettled(milliseconds lease)
+{
+    this->late_lease += lease + lease_slack;
+    this->raise_token();
+}
+
 void server_session::raise_token()
 {
     if (this->next_token() == this->token_value)
@@ -157,6 +163,10 @@
     switch (reply.outcome)
     {
     case poll_outcome::answered:
+        if (sent.token == this->token_value)
+        {
+            this->late_lease = milliseconds(0);
+        }
         this->accept_poll_reply(reply, sent.at);
         if (sent.regular && !this->ended)
         {
@@ -188,7 +198,7 @@
     case poll_outcome::unanswered:
         if (sent.renewal)
         {
-            this->raise_token();
+            this->on_unsettled(this->options.max_lease);
         }
         break;
     case poll_outcome::restarted:
@@ -209,21 +219,39 @@
     {
         this->set_reachable(false, "no listing");
     }
-    if (now >= this->lease_end && this->dispatcher.has_runs(this->id_value))
-    {
-        LOG(INFO) << "server: lease ended; server=" << this->id_value;
-        this->attached = false;
-        this->dispatcher.on_all_runs_ended(this->id_value, now);
-    }
+    this->check_lease_end(now);
+    const instant last_lease_end = this->lease_end + this->late_lease;
     microseconds backoff = this->schedule.backoff();
-    if (this->dispatcher.has_runs(this->id_value) && this->lease_end > now)
+    if (this->dispatcher.has_runs(this->id_value) && last_lease_end > now)
     {
-        backoff = std::min(backoff, this->lease_end - now);
+        backoff = std::min(backoff, last_lease_end - now);
     }
     this->loop.after(backoff, [self = this->shared_from_this()]
                      { self->poll(milliseconds(0)); });
 }
 
+void server_session::check_lease_end(instant now)
+{
+    if (now < this->lease_end + this->late_lease ||
+        !this->dispatcher.has_runs(this->id_value))
+    {
+        return;
+    }
+    this->attached = false;
+    if (this->dispatcher.on_lease_ended(this->id_value, now) > 0)
+    {
+        LOG(INFO) << "server: lease ended; server=" << this->id_value;
+    }
+    if (this->dispatcher.has_runs(this->id_value) &&
+        now >= this->last_unanswered_start + this->options.max_start_delay +
+                   this->options.max_lease + lease_slack)
+    {
+        LOG(INFO) << "server: unanswered starts expired; server="
+                  << this->id_value;
+        this->dispatcher.on_all_runs_ended(this->id_value, now);
+    }
+}
+
 void server_session::accept_poll_reply(const poll_reply& reply,
                                        instant polled_at)
 {
@@ -336,7 +364,8 @@
             if (outcome == start_outcome::unanswered)
             {
                 self->schedule.on_request_unanswered(now);
-                self->raise_token();
+                self->on_unsettled(self->options.start_validity);
+                self->last_unanswered_start = now;
             }
             self->dispatcher.on_start_result(self->id_value, run, outcome, now);
             if (outcome == start_outcome::fenced && token == self->token_value)
@@ -395,12 +424,28 @@
             }
             if (self->dispatcher.has_run(self->id_value, run))
             {
-                self->loop.after(backoff, [self, run]
-                                 { self->stop(run, stop_backoff); });
+                self->loop.after(backoff,
+                                 [self, run] { self->repeat_stop(run); });
             }
         });
 }
 
+void server_session::repeat_stop(const run_id& run)
+{
+    if (this->attached)
+    {
+        this->stop(run, stop_backoff);
+        return;
+    }
+    // The run has ended with the lease or has not started. A stop would only
+    // cost a connection, unless the server answers again.
+    if (!this->ended && this->dispatcher.has_run(this->id_value, run))
+    {
+        this->loop.after(stop_backoff, [self = this->shared_from_this(), run]
+                         { self->repeat_stop(run); });
+    }
+}
+
 void server_session::end()
 {
     this->ended = true;
