--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -386,7 +386,8 @@
                                 {"draining", peer.instance.draining},
                                 {"free_cpu", peer.load.free_cpu}});
     }
-    return out.dump();
+    // The names come from messages of peers and may not be UTF-8.
+    return out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace jujubedrum
