--- /dev/null
+++ b/tests/unit/platform/odd_documents_test.cpp
@@ -0,0 +1,205 @@
+#include "documents.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <vector>
+
+namespace jujubedrum
+{
+
+namespace
+{
+
+/// More levels than a recursion can take on a stack of 8 MB.
+constexpr std::size_t nesting_depth = 200'000;
+
+/// JSON values that no number field may hold. 1e999 is no valid JSON number for
+/// the parser; 18446744073709551616 is 2^64.
+const std::vector<std::string> bad_numbers = {
+    "-1",   "3.7", "1e308", "1e999", "18446744073709551616", "NaN", "\"5\"",
+    "true", "[]",  "{}",    "-0.5"};
+
+std::string nested_array()
+{
+    return std::string(nesting_depth, '[') + std::string(nesting_depth, ']');
+}
+
+std::string nested_object()
+{
+    std::string text;
+    for (std::size_t i = 0; i < nesting_depth; ++i)
+    {
+        text += R"({"a":)";
+    }
+    return text + "1" + std::string(nesting_depth, '}');
+}
+
+/// Returns an entry of a backend server in which `field` holds the JSON value,
+/// or without the field if the value is empty.
+std::string entry_with(const std::string& field, const std::string& value)
+{
+    const std::vector<std::pair<std::string, std::string>> fields = {
+        {"backend", R"("s")"},
+        {"address", R"("10.0.0.9:80")"},
+        {"zone", R"("d1")"},
+        {"version", R"("v1")"},
+        {"slots", "8"},
+        {"state", R"("ready")"},
+        {"coldRemainingMs", "0"},
+        {"capacity", R"({"cpu":16000,"memMb":32768,"gpu":0})"},
+        {"labels", R"(["a","r1-3"])"},
+        {"seqNo", "4"},
+        {"born", "12"}};
+    std::string text = "{";
+    bool replaced = false;
+    for (const auto& [name, usual] : fields)
+    {
+        replaced = replaced || name == field;
+        const std::string& chosen = name == field ? value : usual;
+        if (!chosen.empty())
+        {
+            text.append("\"").append(name).append("\":").append(chosen) += ',';
+        }
+    }
+    if (!replaced)
+    {
+        text.append("\"").append(field).append("\":").append(value) += ',';
+    }
+    text.back() = '}';
+    return text;
+}
+
+bool is_accepted(const std::string& entry)
+{
+    std::string why;
+    const bool accepted = decode_server("i-1", entry, why).has_value();
+    BOOST_TEST((accepted || !why.empty()));
+    BOOST_TEST(why.size() < 500);
+    return accepted;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(odd_documents_suite)
+
+// Guards against a number of another writer that is converted to a valid one: a
+// capacity of -1 became 4,294,967,295 and attracted all tasks.
+BOOST_AUTO_TEST_CASE(server_entry_number_out_of_range_refused)
+{
+    for (const std::string& number : bad_numbers)
+    {
+        for (const char* field : {"born", "slots", "seqNo"})
+        {
+            BOOST_TEST_CONTEXT(field << " = " << number)
+            BOOST_TEST(!is_accepted(entry_with(field, number)));
+        }
+        for (const char* amount : {"cpu", "memMb", "gpu"})
+        {
+            BOOST_TEST_CONTEXT(amount << " = " << number)
+            BOOST_TEST(!is_accepted(
+                entry_with("capacity", "{\"" + std::string(amount) +
+                                           "\":" + number + "}")));
+        }
+    }
+    BOOST_TEST(!is_accepted(entry_with("capacity", R"({"cpu":4294967295})")));
+    BOOST_TEST(!is_accepted(entry_with("capacity", R"({"cpu":4294967297})")));
+}
+
+// Guards against connections to a port that no server can listen on.
+BOOST_AUTO_TEST_CASE(server_entry_odd_address_refused)
+{
+    for (const char* address :
+         {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999", "10.0.0.9:12ab",
+          "10.0.0.9:-1", "10.0.0.9:", "10.0.0.9", "10.0.0.256:80", "host:80",
+          "[::1]:80", ":80", ""})
+    {
+        BOOST_TEST_CONTEXT(address)
+        BOOST_TEST(!is_accepted(
+            entry_with("address", "\"" + std::string(address) + "\"")));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(server_entry_of_another_shape_refused)
+{
+    const std::string long_text = "\"" + std::string(1U << 20U, 'x') + "\"";
+    for (const std::string& text :
+         {std::string(), std::string("null"), std::string("[]"),
+          std::string("{}"), std::string("3"), std::string("\"ready\""),
+          std::string("\xff\xfe\x00", 3), std::string("{\"a\":\"\xff\"}"),
+          nested_array(), nested_object(), std::string(nesting_depth, '['),
+          long_text, long_text.substr(0, 1000)})
+    {
+        BOOST_TEST(!is_accepted(text));
+    }
+    for (const char* field : {"backend", "address", "zone", "state"})
+    {
+        for (const std::string& value :
+             {std::string(), std::string("null"), std::string("1"),
+              std::string("[]"), std::string("{}"), std::string(R"("")"),
+              long_text, nested_array(), nested_object()})
+        {
+            BOOST_TEST_CONTEXT(field << " = " << value.substr(0, 20))
+            BOOST_TEST(!is_accepted(entry_with(field, value)));
+        }
+    }
+    for (const std::string& value :
+         {std::string(), std::string("null"), std::string("5"),
+          std::string("[1]"), std::string(R"("16")"), nested_array()})
+    {
+        BOOST_TEST(!is_accepted(entry_with("capacity", value)));
+    }
+    for (const std::string& value :
+         {std::string("5"), std::string(R"("a")"), std::string("[1]"),
+          std::string("{}"), nested_array(), nested_object()})
+    {
+        BOOST_TEST(!is_accepted(entry_with("labels", value)));
+    }
+    BOOST_TEST(!is_accepted(entry_with("state", R"("retired")")));
+}
+
+// Guards against an id that would add header lines to requests.
+BOOST_AUTO_TEST_CASE(server_entry_odd_id_refused)
+{
+    std::string why;
+    const std::string good = entry_with("seqNo", "4");
+    for (const std::string& id :
+         {std::string(), std::string("a b"), std::string("a\r\nX: y"),
+          std::string("a\0b", 3), std::string("\xff"), std::string("\xc3\xa9")})
+    {
+        BOOST_TEST(!decode_server(id, good, why).has_value());
+    }
+    BOOST_TEST(decode_server("i-7f3a91c2", good, why).has_value());
+}
+
+// Guards against refusing entries of workers, whose entries may have further
+// fields and leave out those that are 0.
+BOOST_AUTO_TEST_CASE(server_entry_with_further_fields_accepted)
+{
+    std::string why;
+    const auto usual = decode_server("i-1", entry_with("seqNo", "5"), why);
+    BOOST_REQUIRE_MESSAGE(usual, why);
+    BOOST_TEST(usual->capacity.cpu == 16000);
+    BOOST_TEST(usual->incarnation == 12);
+    for (const std::string& value :
+         {std::string("1"), std::string("-1"), std::string("null"),
+          std::string("[[1],{}]"), nested_array(), nested_object()})
+    {
+        const auto server = decode_server("i-1", entry_with("x", value), why);
+        BOOST_REQUIRE_MESSAGE(server, why);
+        BOOST_CHECK(*server == *usual);
+    }
+    for (const char* field :
+         {"slots", "coldRemainingMs", "labels", "seqNo", "born", "version"})
+    {
+        BOOST_TEST_CONTEXT(field)
+        BOOST_TEST(is_accepted(entry_with(field, "")));
+    }
+    BOOST_TEST(is_accepted(entry_with("coldRemainingMs", "12.5")));
+    BOOST_TEST(is_accepted(entry_with("capacity", R"({"cpu":16000.0})")));
+    BOOST_TEST(is_accepted(entry_with("born", "1764900000000")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubedrum
