--- a/tests/unit/platform/odd_documents_test.cpp
+++ b/tests/unit/platform/odd_documents_test.cpp
@@ -200,6 +200,146 @@
     BOOST_TEST(is_accepted(entry_with("born", "1764900000000")));
 }
 
+// Guards against a process that ends: "limits" was copied, which recurses once
+// for each level.
+BOOST_AUTO_TEST_CASE(configuration_deeply_nested_does_not_end_the_process)
+{
+    std::string why;
+    for (const std::string& value : {nested_array(), nested_object()})
+    {
+        (void)decode_configuration(value, why);
+        BOOST_TEST(decode_configuration(
+                       R"({"version":1,"routes":[],"x":)" + value + "}", why)
+                       .has_value());
+        for (const auto& [start, end] :
+             {std::pair<std::string, std::string>(
+                  R"({"version":1,"routes":[],"limits":)", "}"),
+              {R"({"version":1,"routes":[],"limits":{"maxBodyBytes":)", "}}"},
+              {R"({"version":1,"routes":[{"name":)", "}]}"},
+              {R"({"version":1,"routes":)", "}"},
+              {R"({"version":)", "}"}})
+        {
+            (void)decode_configuration(start + value + end, why);
+        }
+    }
+}
+
+// Guards against a version that no later one exceeds, and against limits that
+// are none: a number of -1 became the maximum.
+BOOST_AUTO_TEST_CASE(configuration_number_out_of_range_refused)
+{
+    const auto is_configuration = [](const std::string& version,
+                                     const std::string& route,
+                                     const std::string& limits)
+    {
+        std::string why;
+        return decode_configuration(R"({"version":)" + version +
+                                        R"(,"routes":[{)" + route +
+                                        R"(}],"limits":{)" + limits + "}}",
+                                    why)
+            .has_value();
+    };
+    BOOST_TEST(is_configuration("7", R"("timeoutMs":1500)",
+                                R"("maxBodyBytes":262144)"));
+    for (const std::string& number : bad_numbers)
+    {
+        BOOST_TEST_CONTEXT(number)
+        {
+            BOOST_TEST(!is_configuration(number, "", ""));
+            for (const char* field : {"priority", "maxAttempts"})
+            {
+                BOOST_TEST(!is_configuration(
+                    "1", "\"" + std::string(field) + "\":" + number, ""));
+            }
+            for (const char* field : {"maxHeaderBytes", "maxBodyBytes"})
+            {
+                BOOST_TEST(!is_configuration(
+                    "1", "", "\"" + std::string(field) + "\":" + number));
+            }
+        }
+    }
+    for (const std::string number :
+         {"-1", "1e999", "NaN", "\"5\"", "true", "[]", "{}", "-0.5"})
+    {
+        BOOST_TEST_CONTEXT(number)
+        {
+            for (const char* field :
+                 {"timeoutMs", "targetLatencyMs", "stretch"})
+            {
+                BOOST_TEST(!is_configuration(
+                    "1", "\"" + std::string(field) + "\":" + number, ""));
+            }
+            BOOST_TEST(
+                !is_configuration("1", "", R"("idleTimeoutMs":)" + number));
+        }
+    }
+    for (const std::string& document :
+         {std::string("null"), std::string("[]"), std::string("{}"),
+          std::string(R"({"version":1,"routes":{}})"),
+          std::string(R"({"version":1,"routes":[[]]})"),
+          std::string(R"({"version":1,"routes":[{"name":5}]})"),
+          std::string(R"({"version":1,"routes":[],"limits":[]})")})
+    {
+        std::string why;
+        BOOST_TEST(!decode_configuration(document, why).has_value());
+    }
+}
+
+// A time-out beyond the maximum is served as the maximum: refusing it would
+// keep the whole configuration from coming into force.
+BOOST_AUTO_TEST_CASE(configuration_long_duration_is_limited)
+{
+    std::string why;
+    const auto document = decode_configuration(
+        R"({"version":1,"routes":[{"timeoutMs":1e308,"targetLatencyMs":2.5}],)"
+        R"("limits":{"idleTimeoutMs":18446744073709551616}})",
+        why);
+    BOOST_REQUIRE_MESSAGE(document, why);
+    BOOST_CHECK(document->routes[0].timeout == max_duration);
+    BOOST_CHECK(document->routes[0].target == milliseconds(2));
+    BOOST_CHECK(document->limits.idle_timeout == max_duration);
+}
+
+// Guards against dialing another port than the announced one: 65616 became 80.
+BOOST_AUTO_TEST_CASE(member_announcement_out_of_range_refused)
+{
+    const auto announcement =
+        [](const std::string& port, const std::string& boot,
+           const std::string& cpu, const std::string& address = "10.0.0.1")
+    {
+        return decode_member(R"({"name":"a","address":")" + address +
+                             R"(","port":)" + port + R"(,"boot":)" + boot +
+                             R"(,"domain":"d1","cpu":)" + cpu + "}");
+    };
+    BOOST_TEST(announcement("80", "1", "250").has_value());
+    BOOST_TEST(announcement("80", "18446744073709551615", "250").has_value());
+    for (const std::string& number : bad_numbers)
+    {
+        BOOST_TEST_CONTEXT(number)
+        {
+            BOOST_TEST(!announcement(number, "1", "250").has_value());
+            BOOST_TEST(!announcement("80", number, "250").has_value());
+            BOOST_TEST(!announcement("80", "1", number).has_value());
+        }
+    }
+    for (const char* port : {"0", "65536", "65616", "99999"})
+    {
+        BOOST_TEST(!announcement(port, "1", "250").has_value());
+    }
+    BOOST_TEST(!announcement("80", "1", "250", "host").has_value());
+    for (const std::string& text :
+         {std::string(), std::string("null"), std::string("[]"),
+          std::string("{}"), std::string("\xff"), nested_array(),
+          nested_object()})
+    {
+        BOOST_TEST(!decode_member(text).has_value());
+    }
+    // Written by a version that announces less.
+    BOOST_TEST(
+        decode_member(R"({"name":"a","address":"10.0.0.1","port":1,"boot":2})")
+            .has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubedrum
