Check the numbers of submissions, polls and store replies

A caller's task demanded other amounts than written: a cpu of -1 became 4,294,967,295, 4,294,967,297 became 1 and 3.7 became 3; an estRuntimeMs or a deadline header beyond 2^63 microseconds was undefined behavior. In replies of a server, "clockMs" of 1e308 and run numbers of -1 were converted too, and an "end" of -1 in a list page became the highest offset, from which reads return nothing: the list would no longer have been followed.

Cause: the same json::get<T>() conversions as in the entries of servers. Durations are limited to max_duration, the clock to the year 9999. The clock and the percentage of a run may have fractions.

Harmless already: nesting, other shapes, "count" of -1, start replies of any shape, undecodable items of a list page.

--- a/tests/unit/platform/odd_documents_test.cpp
+++ b/tests/unit/platform/odd_documents_test.cpp
@@ -1,4 +1,7 @@
+#include "caller_adapter.hpp"
 #include "documents.hpp"
+#include "log_codec.hpp"
+#include "server_adapter.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -219,7 +222,8 @@
               {R"({"version":1,"routes":)", "}"},
               {R"({"version":)", "}"}})
         {
-            (void)decode_configuration(start + value + end, why);
+            std::string text = start;
+            (void)decode_configuration(text.append(value).append(end), why);
         }
     }
 }
@@ -340,6 +344,180 @@
             .has_value());
 }
 
+// Guards against tasks that demand other amounts than their caller wrote: -1
+// became 4,294,967,295 and 4,294,967,297 became 1.
+BOOST_AUTO_TEST_CASE(submission_number_out_of_range_refused)
+{
+    submission_refusal refusal;
+    const auto is_accepted_with =
+        [&refusal](const std::string& field, const std::string& value)
+    {
+        refusal = {};
+        std::string text = R"({"bestEffort":true,"steps":[{)";
+        text += field == "count" ? "" : R"("count":1,)";
+        text.append("\"").append(field).append("\":").append(value) += "}]}";
+        return decode_submission("5c0e7a21d94b36f8", text, refusal).has_value();
+    };
+    for (const std::string& number : bad_numbers)
+    {
+        for (const char* field :
+             {"count", "cpu", "memMb", "gpu", "antiAffinity"})
+        {
+            BOOST_TEST_CONTEXT(field << " = " << number)
+            {
+                BOOST_TEST(!is_accepted_with(field, number));
+                BOOST_TEST(refusal.status == 400);
+            }
+        }
+    }
+    for (const char* count : {"0", "4097", "4294967297"})
+    {
+        BOOST_TEST(!is_accepted_with("count", count));
+    }
+    BOOST_TEST(!is_accepted_with("cpu", "4294967297"));
+    for (const char* value : {"-1", "NaN", "1e999", "true", "\"5\"", "[]"})
+    {
+        BOOST_TEST(!is_accepted_with("estRuntimeMs", value));
+    }
+    for (const std::string& value :
+         {std::string("5"), std::string(R"("a")"), std::string("[-1]"),
+          std::string("[0]"), std::string("[1e308]"), nested_array()})
+    {
+        BOOST_TEST(!is_accepted_with("after", value));
+    }
+    for (const char* field : {"gang", "constraints", "dataRack"})
+    {
+        BOOST_TEST(!is_accepted_with(field, "5"));
+        BOOST_TEST(!is_accepted_with(field, nested_object()));
+    }
+    BOOST_TEST(is_accepted_with("estRuntimeMs", "0.5"));
+    BOOST_TEST(is_accepted_with("x", nested_array()));
+    const auto job = decode_submission(
+        "5c0e7a21d94b36f8",
+        R"({"bestEffort":true,"steps":[{"count":1,"estRuntimeMs":1e308}]})",
+        refusal);
+    BOOST_REQUIRE(job);
+    BOOST_CHECK(job->steps[0].estimate == max_duration);
+}
+
+BOOST_AUTO_TEST_CASE(submission_of_another_shape_refused)
+{
+    submission_refusal refusal;
+    for (const std::string& text : {std::string("{}"), nested_object()})
+    {
+        BOOST_TEST(
+            !decode_submission("5c0e7a21d94b36f8", text, refusal).has_value());
+        BOOST_TEST(refusal.status == 503);
+    }
+    for (const std::string& text :
+         {std::string(), std::string("null"), std::string("[]"),
+          std::string(R"("x")"), std::string("\xff"), nested_array(),
+          R"({"bestEffort":true,"steps":)" + nested_array() + "}",
+          std::string(R"({"bestEffort":true,"steps":{"a":{"count":1}}})"),
+          std::string(R"({"bestEffort":true,"steps":[[]]})"),
+          std::string(R"({"bestEffort":true,"steps":["a"]})"),
+          std::string(R"({"bestEffort":true,"steps":[null]})"),
+          std::string(R"({"bestEffort":true})"),
+          std::string(R"({"bestEffort":1,"steps":[{"count":1}]})")})
+    {
+        refusal = {};
+        BOOST_TEST_CONTEXT(text.substr(0, 60))
+        BOOST_TEST(
+            !decode_submission("5c0e7a21d94b36f8", text, refusal).has_value());
+        BOOST_TEST(refusal.status == 400);
+        BOOST_TEST(refusal.text.size() < 500);
+    }
+}
+
+// Guards against a clock or a run number that is converted to another one.
+BOOST_AUTO_TEST_CASE(poll_reply_number_out_of_range_refused)
+{
+    const auto is_reply = [](const std::string& clock, const std::string& born,
+                             const std::string& run, const std::string& percent,
+                             const std::string& number)
+    {
+        return decode_poll_reply(R"({"clockMs":)" + clock + R"(,"born":)" +
+                                 born + R"(,"running":[["a.0.1.17",)" + run +
+                                 R"(,"",)" + percent + R"(]],"finished":[[)" +
+                                 number + R"(,"a.0.1.9",)" + run +
+                                 R"(,"done",""]]})")
+            .has_value();
+    };
+    BOOST_TEST(is_reply("1", "1764900000000", "1", "41", "58"));
+    for (const std::string& bad : bad_numbers)
+    {
+        BOOST_TEST_CONTEXT(bad)
+        {
+            // The clock and the percentage may have fractions.
+            BOOST_TEST((bad == "3.7" || !is_reply(bad, "1", "1", "1", "1")));
+            BOOST_TEST(!is_reply("1", bad, "1", "1", "1"));
+            BOOST_TEST(!is_reply("1", "1", bad, "1", "1"));
+            BOOST_TEST((bad == "3.7" || !is_reply("1", "1", "1", bad, "1")));
+            BOOST_TEST(!is_reply("1", "1", "1", "1", bad));
+        }
+    }
+    // Lease ends are computed from the clock.
+    BOOST_TEST(!is_reply("9223372036854775807", "1", "1", "1", "1"));
+    for (const std::string& text :
+         {std::string(), std::string("null"), std::string("[]"),
+          std::string("{}"), std::string("\xff"), nested_array(),
+          nested_object(), R"({"clockMs":1,"running":)" + nested_array() + "}",
+          std::string(R"({"clockMs":1,"running":{},"finished":[]})"),
+          std::string(R"({"clockMs":1,"running":[[]],"finished":[]})"),
+          std::string(R"({"clockMs":1,"running":[5],"finished":[]})")})
+    {
+        BOOST_TEST_CONTEXT(text.substr(0, 60))
+        BOOST_TEST(!decode_poll_reply(text).has_value());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(start_reply_of_another_shape_is_invalid)
+{
+    for (const std::string& body :
+         {std::string(), std::string("null"), std::string("\xff"),
+          std::string(R"({"reason":5})"), nested_array(), nested_object(),
+          R"({"reason":)" + nested_array() + "}"})
+    {
+        BOOST_CHECK(decode_start_reply({http_result::replied, 409, body, ""}) ==
+                    start_outcome::invalid);
+    }
+}
+
+// Guards against an offset that no record has: -1 became the highest one, from
+// which reads return nothing.
+BOOST_AUTO_TEST_CASE(store_reply_number_out_of_range_refused)
+{
+    for (const std::string& number : bad_numbers)
+    {
+        BOOST_TEST_CONTEXT(number)
+        {
+            BOOST_TEST(
+                !decode_newest_page(R"({"items":[],"end":)" + number + "}")
+                     .has_value());
+            BOOST_TEST(!decode_append_offset(R"({"offset":)" + number + "}")
+                            .has_value());
+            BOOST_TEST(!decode_first_offset(R"({"first":)" + number + "}")
+                            .has_value());
+        }
+    }
+    for (const std::string& text :
+         {std::string(), std::string("null"), std::string("[]"),
+          std::string("\xff"), nested_array(), nested_object()})
+    {
+        BOOST_TEST(!decode_newest_page(text).has_value());
+        BOOST_TEST(!decode_append_offset(text).has_value());
+    }
+    const auto page = decode_newest_page(
+        R"({"items":[null,5,{"key":5},{"key":"a","value":5},)"
+        R"({"key":"b","value":"!"},{"key":"c","value":"eA=="},)"
+        R"({"key":"d","value":)" +
+        nested_array() + R"(}],"hasMore":"x","end":6})");
+    BOOST_REQUIRE(page);
+    BOOST_REQUIRE_EQUAL(page->items.size(), 1);
+    BOOST_TEST(page->items[0].key == "c");
+    BOOST_TEST(page->last_key == "d");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubedrum
