Start no tasks on servers whose entry is gone or unreadable

Operators could see tasks start for ever on a server whose entry had been removed, as long as something ran there: the server was given up only once it was idle. An entry that became unreadable was ignored, so its server stayed in use as if the old entry still held.

PROTOCOL.md: an entry that is still missing after two seconds is to be treated as gone; an unreadable entry names no worker to use.

Change: an unreadable entry is reported like a removed one, with a mark. No new tasks start at once for an unreadable entry, and after the grace period of 2.5 s for a removed one (entries that expired with the store are back by then). The session stays open, so that runs keep their lease and end, and the server is in use again with its next readable entry.

--- a/src/libruntime/node/platform_ports.hpp
+++ b/src/libruntime/node/platform_ports.hpp
@@ -38,7 +38,9 @@
 struct server_change
 {
     std::string id;
-    std::optional<server_info> info; ///< empty: the entry was removed
+    /// Empty: the entry was removed, or it is unreadable.
+    std::optional<server_info> info;
+    bool unreadable = false; ///< the entry names no server to use
 };
 
 /// Receives updates from the platform's store.
--- a/src/libruntime/node/pool_manager.cpp
+++ b/src/libruntime/node/pool_manager.cpp
@@ -236,12 +236,7 @@
     {
         if (!change.info)
         {
-            const auto at = this->servers.find(change.id);
-            if (at != this->servers.end() && !at->second.missing_since)
-            {
-                LOG(INFO) << "server: entry removed; server=" << change.id;
-                at->second.missing_since = now;
-            }
+            this->on_missing_entry(change);
             continue;
         }
         this->on_domain_entry(change.info->domain);
@@ -255,6 +250,7 @@
         known.info = *change.info;
         known.last_update = now;
         known.missing_since.reset();
+        known.unreadable = false;
         const auto at = this->sessions.find(change.id);
         if (at != this->sessions.end())
         {
@@ -265,6 +261,31 @@
     this->update_sessions();
 }
 
+void pool_manager::on_missing_entry(const server_change& change)
+{
+    const auto at = this->servers.find(change.id);
+    if (at == this->servers.end())
+    {
+        return;
+    }
+    known_server& known = at->second;
+    known.unreadable = known.unreadable || change.unreadable;
+    if (!known.missing_since)
+    {
+        LOG(INFO) << "server: entry "
+                  << (change.unreadable ? "unreadable" : "removed")
+                  << "; server=" << change.id;
+        known.missing_since = event_loop::now();
+    }
+}
+
+void pool_manager::stop_new_tasks(const server_info& server)
+{
+    server_info draining_server = server;
+    draining_server.draining = true;
+    this->dispatcher.set_server(draining_server);
+}
+
 void pool_manager::on_domain_entry(const std::string& domain)
 {
     const instant now = event_loop::now();
@@ -559,6 +580,10 @@
             at = this->servers.erase(at);
             continue;
         }
+        if ((expired || known.unreadable) && session != this->sessions.end())
+        {
+            this->stop_new_tasks(known.info);
+        }
         const auto hold = this->held.find(pool_of(known.info));
         if (session == this->sessions.end() && hold != this->held.end() &&
             this->pending_handovers.count(id) == 0 && !known.missing_since)
--- a/src/libruntime/node/pool_manager.hpp
+++ b/src/libruntime/node/pool_manager.hpp
@@ -108,6 +108,7 @@
         instant last_update{0}; ///< when its entry was last received
         /// When its entry was found removed; empty while there is one.
         std::optional<instant> missing_since;
+        bool unreadable = false; ///< its last entry
     };
     /// When entries of the servers of a failure domain were received.
     struct entry_activity
@@ -122,6 +123,10 @@
         instant until{0};
     };
 
+    /// Records that the server of the change has no usable entry.
+    void on_missing_entry(const server_change& change);
+    /// Starts no further tasks on the server; its runs are kept.
+    void stop_new_tasks(const server_info& server);
     void on_domain_entry(const std::string& domain);
     /// Logs the held pools that have become clean, or no longer are.
     void log_clean_pools();
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -213,6 +213,52 @@
     BOOST_REQUIRE(this->wait([&] { return this->servers_of("a") == 1; }));
 }
 
+// Guards against starting tasks for ever on a server whose entry is gone: it
+// was removed only once nothing ran there.
+BOOST_AUTO_TEST_CASE(server_entry_removed_while_busy_gets_no_new_tasks)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    this->submit("a", "0000000000000001", 4, 6000, milliseconds(30000));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 4; }));
+    const auto removed = std::move(this->servers["s2"]);
+    this->servers.erase("s2");
+    this->store.write_server("s2", "");
+    BOOST_REQUIRE(
+        this->wait([&] { return this->usable_cpu_of("a") <= 16000; }));
+    BOOST_TEST(this->results.count("0000000000000001") == 0);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_TEST(this->record.total_starts() == 4);
+    BOOST_TEST(this->record.violations().empty());
+}
+
+// An unreadable entry names no server to use, but what runs there is kept.
+BOOST_AUTO_TEST_CASE(server_entry_unreadable_no_new_tasks_until_it_is_back)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    this->submit("a", "0000000000000001", 4, 4000, milliseconds(30000));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 4; }));
+    auto without_entry = std::move(this->servers["s2"]);
+    this->servers.erase("s2");
+    this->store.write_server("s2", R"({"backend":5})");
+    BOOST_REQUIRE(
+        this->wait([&] { return this->usable_cpu_of("a") <= 16000; }));
+    BOOST_TEST(this->results.count("0000000000000001") == 0);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 4);
+    this->servers["s2"] = std::move(without_entry);
+    this->write_entry("s2");
+    BOOST_REQUIRE(this->wait([&] { return this->usable_cpu_of("a") > 16000; }));
+    BOOST_TEST(this->record.violations().empty());
+}
+
 // After a restart of all instances, requests arrive before any pool is taken.
 BOOST_AUTO_TEST_CASE(just_started_job_waits_for_first_holder)
 {
--- a/tests/unit/dispatch/node_fixture.cpp
+++ b/tests/unit/dispatch/node_fixture.cpp
@@ -94,9 +94,14 @@
 
 std::size_t node_fixture::servers_of(const std::string& name)
 {
-    const auto state = nlohmann::json::parse(this->nodes[name]->node().dump());
     constexpr std::size_t cpu = 16000;
-    return state["total_cpu"].get<std::size_t>() / (cpu / 2) / 2;
+    return this->usable_cpu_of(name) / (cpu / 2) / 2;
+}
+
+std::uint64_t node_fixture::usable_cpu_of(const std::string& name)
+{
+    const auto state = nlohmann::json::parse(this->nodes[name]->node().dump());
+    return state["total_cpu"].get<std::uint64_t>();
 }
 
 bool node_fixture::wait_for_servers(const std::string& name, std::size_t count)
--- a/tests/unit/dispatch/node_fixture.hpp
+++ b/tests/unit/dispatch/node_fixture.hpp
@@ -49,6 +49,10 @@
     bool wait_for(const std::string& job);
     bool wait(const std::function<bool()>& condition);
     [[nodiscard]] std::size_t servers_of(const std::string& name);
+    /// Returns the capacity that the instance uses for new tasks, in
+    /// thousandths of a core. Once jobs were submitted, the remainder of each
+    /// server that is smaller than a task is not counted.
+    [[nodiscard]] std::uint64_t usable_cpu_of(const std::string& name);
 
     event_loop loop;
     log_store_standin store{loop};
