--- a/standins/users/log_store_standin.cpp
+++ b/standins/users/log_store_standin.cpp
@@ -36,6 +36,28 @@
     return target.substr(at, target.find('&', at) - at);
 }
 
+/// Returns the text with its percent-encoded bytes decoded.
+std::string decode_percent(const std::string& text)
+{
+    constexpr std::size_t digits = 2;
+    std::string result;
+    for (std::size_t i = 0; i < text.size(); ++i)
+    {
+        unsigned byte = 0;
+        const char* first = text.data() + i + 1;
+        if (text[i] == '%' && i + digits < text.size() &&
+            std::from_chars(first, first + digits, byte, 16).ptr ==
+                first + digits)
+        {
+            result += static_cast<char>(byte);
+            i += digits;
+            continue;
+        }
+        result += text[i];
+    }
+    return result;
+}
+
 template <typename T>
 bool parse_number(const std::string& text, T& value)
 {
@@ -110,7 +132,9 @@
     }
     if (path == "/v1/log-newest")
     {
-        this->answer_newest(name, responder);
+        this->answer_newest(name,
+                            decode_percent(parameter(request.target, "after")),
+                            responder);
         return;
     }
     std::uint64_t from = 0;
@@ -229,19 +253,24 @@
 }
 
 void log_store_standin::answer_newest(
-    const std::string& name, const std::shared_ptr<http_responder>& responder)
+    const std::string& name, const std::string& after,
+    const std::shared_ptr<http_responder>& responder)
 {
     const topic& target = this->topics[name];
     nlohmann::json items = nlohmann::json::array();
-    for (const auto& [key, value] : target.newest)
+    auto at = after.empty() ? target.newest.begin()
+                            : target.newest.upper_bound(after);
+    for (; at != target.newest.end() && items.size() < this->page_size; ++at)
     {
-        items.push_back(
-            {{"key", key}, {"value", to_base64(value)}, {"offset", 0}});
+        items.push_back({{"key", at->first},
+                         {"value", to_base64(at->second)},
+                         {"offset", 0}});
     }
-    responder->answer({200, nlohmann::json{{"items", items},
-                                           {"hasMore", false},
-                                           {"end", target.end()}}
-                                .dump()});
+    responder->answer(
+        {200, nlohmann::json{{"items", items},
+                             {"hasMore", at != target.newest.end()},
+                             {"end", target.end()}}
+                  .dump()});
 }
 
 void log_store_standin::answer_ready_reads()
--- a/standins/users/log_store_standin.hpp
+++ b/standins/users/log_store_standin.hpp
@@ -38,6 +38,8 @@
     /// Writes the entry of a backend server, or removes it if the entry is
     /// empty.
     void write_server(const std::string& id, const std::string& entry);
+    /// Sets the number of keys in a page of the newest records.
+    void set_page_size(std::size_t keys) { this->page_size = keys; }
     /// Drops the records of all topics but keeps the newest value of each key.
     void compact();
     /// Returns the number of requests received.
@@ -71,7 +73,7 @@
               const std::shared_ptr<http_responder>& responder);
     void answer_read(const std::string& name, std::uint64_t from,
                      const std::shared_ptr<http_responder>& responder);
-    void answer_newest(const std::string& name,
+    void answer_newest(const std::string& name, const std::string& after,
                        const std::shared_ptr<http_responder>& responder);
     void append_record(const std::string& name, const std::string& record);
     void put_keyed(const std::string& name, const std::string& key,
@@ -87,6 +89,7 @@
     std::vector<waiting_read> reads;
     fault active_fault = fault::none;
     std::uint64_t call_count = 0;
+    std::size_t page_size = 500;
 };
 
 } // namespace jujubedrum
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -259,6 +259,45 @@
     BOOST_TEST(this->record.violations().empty());
 }
 
+// Guards against entries of another writer that end the process or keep the
+// instance from following the list, which it reads in pages of one key here.
+BOOST_AUTO_TEST_CASE(server_entries_of_another_writer_others_stay_in_use)
+{
+    const std::vector<std::string> odd_entries = {
+        "{}",
+        "\xff\xfe",
+        std::string(200'000, '['),
+        std::string(100'000, '[') + std::string(100'000, ']'),
+        R"({"backend":"service","address":"127.0.0.1:99999","zone":"d1",)"
+        R"("state":"ready","capacity":{"cpu":16000}})",
+        R"({"backend":"service","address":"127.0.0.1:9","zone":"d1",)"
+        R"("state":"ready","capacity":{"cpu":1e999}})",
+        R"({"backend":"service","address":"127.0.0.1:9","zone":"d1",)"
+        R"("state":"ready","capacity":{"cpu":-1}})"};
+    const auto write_odd_entries = [&](const std::string& prefix)
+    {
+        for (std::size_t i = 0; i < odd_entries.size(); ++i)
+        {
+            this->store.write_server(prefix + std::to_string(i),
+                                     odd_entries[i]);
+        }
+    };
+    this->store.set_page_size(1);
+    write_odd_entries("odd &part=9#%/?");
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    write_odd_entries("z ");
+    this->add_server("s2");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    this->submit("a", "0000000000000001", 4, 30);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->usable_cpu_of("a") <= 32000);
+    BOOST_TEST(this->record.violations().empty());
+}
+
 // After a restart of all instances, requests arrive before any pool is taken.
 BOOST_AUTO_TEST_CASE(just_started_job_waits_for_first_holder)
 {
