Keep a job that fits no server out of the capacity measure

One submission could take a holder out of service. With a mean of millions no remainder of a server counts as usable, the holder reported a total capacity of 0, and job_router sends no job to such a holder, so the mean never recovered: callers got "no holder" until the process was started again.

Change: the measure counts a job only once a server is found that each of its tasks fits, so the mean never exceeds the largest server in use.

--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -110,7 +110,6 @@
 void pool_dispatcher::submit(job_request request, const job_terms& terms,
                              const job_origin& origin, instant now)
 {
-    this->meter.add_job(request);
     const auto at = this->jobs.find(request.id);
     pooled_job* job = nullptr;
     if (at != this->jobs.end())
@@ -134,10 +133,16 @@
         this->jobs.emplace(job->request.id, std::move(created));
     }
     this->deadlines.emplace(job->deadline, job->request.id);
+    const bool suitable = this->has_suitable_servers(*job, now);
+    if (suitable)
+    {
+        // A job that fits no server says nothing about usable capacity.
+        this->meter.add_job(job->request);
+    }
     const dispatch_load current_load = this->meter.measure(this->servers, now);
     job->free_cpu = current_load.free_cpu;
     job->servers = current_load.servers;
-    if (!this->has_suitable_servers(*job, now))
+    if (!suitable)
     {
         this->finish(*job, job_outcome::refused, "no server fits",
                      min_retry_after, now);
--- a/tests/unit/dispatch/pool_dispatcher_test.cpp
+++ b/tests/unit/dispatch/pool_dispatcher_test.cpp
@@ -47,6 +47,20 @@
     BOOST_TEST(this->starts.size() == 3);
 }
 
+// Guards against a holder that reports no capacity: the mean size of tasks
+// counted a job that fits no server, so no remainder seemed large enough for a
+// task, and no job was sent to the holder again.
+BOOST_AUTO_TEST_CASE(submission_no_server_fits_capacity_still_reported)
+{
+    this->add_server("s1");
+    this->submit(make_job("a", 1, milliseconds(100), 0xffffffffU));
+    BOOST_REQUIRE_EQUAL(this->ended.size(), 1);
+    BOOST_CHECK(this->ended[0].result.outcome == job_outcome::refused);
+    BOOST_TEST(this->dispatcher.load(this->now).total_cpu == 16000);
+    this->submit(make_job("b", 1), 2);
+    BOOST_TEST(this->starts.size() == 1);
+}
+
 // Guards against running a task twice: the unanswered start may still be
 // carried out.
 BOOST_AUTO_TEST_CASE(start_unanswered_not_repeated_before_it_is_settled)
