Compare demands with capacities without overflow

Two tasks that demand 4,026,531,840 thousandths of a core each were started on a server of 4,294,967,295: the sum of the reserved and the demanded amount wrapped around to a small one. The same held for memory.

Change: the demand is compared with the remainder. Sums over servers and tasks are 64 bits wide already.

Evidence: pool_dispatcher_suite/start_huge_demand_not_added_to_a_busy_server failed before with "pool_dispatcher_test.cpp(70): check this->starts.size() == 1 has failed [2 != 1]".

--- a/src/libjujubedrum/dispatch/server_record.cpp
+++ b/src/libjujubedrum/dispatch/server_record.cpp
@@ -50,9 +50,14 @@
 bool server_record::fits(const resource_amounts& demand) const
 {
     const resource_amounts& all = this->description.capacity;
-    return this->reserved.cpu + demand.cpu <= all.cpu &&
-           this->reserved.memory_mb + demand.memory_mb <= all.memory_mb &&
-           this->reserved.gpu + demand.gpu <= all.gpu;
+    // The sum of two large amounts would wrap around.
+    const auto fits_into =
+        [](std::uint32_t total, std::uint32_t used, std::uint32_t wanted)
+    { return used <= total && wanted <= total - used; };
+    return fits_into(all.cpu, this->reserved.cpu, demand.cpu) &&
+           fits_into(all.memory_mb, this->reserved.memory_mb,
+                     demand.memory_mb) &&
+           fits_into(all.gpu, this->reserved.gpu, demand.gpu);
 }
 
 void server_record::reserve(const resource_amounts& demand)
--- a/tests/unit/dispatch/pool_dispatcher_test.cpp
+++ b/tests/unit/dispatch/pool_dispatcher_test.cpp
@@ -61,6 +61,15 @@
     BOOST_TEST(this->starts.size() == 1);
 }
 
+// Guards against a sum of demands that wraps around, so that a server gets more
+// than it has.
+BOOST_AUTO_TEST_CASE(start_huge_demand_not_added_to_a_busy_server)
+{
+    this->add_server("s1", 0xffffffffU);
+    this->submit(make_job("a", 2, milliseconds(100), 0xf0000000U));
+    BOOST_TEST(this->starts.size() == 1);
+}
+
 // Guards against running a task twice: the unanswered start may still be
 // carried out.
 BOOST_AUTO_TEST_CASE(start_unanswered_not_repeated_before_it_is_settled)
