--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -263,17 +263,20 @@
 // instance from following the list, which it reads in pages of one key here.
 BOOST_AUTO_TEST_CASE(server_entries_of_another_writer_others_stay_in_use)
 {
-    const std::vector<std::string> odd_entries = {
-        "{}",
-        "\xff\xfe",
-        std::string(200'000, '['),
-        std::string(100'000, '[') + std::string(100'000, ']'),
-        R"({"backend":"service","address":"127.0.0.1:99999","zone":"d1",)"
-        R"("state":"ready","capacity":{"cpu":16000}})",
-        R"({"backend":"service","address":"127.0.0.1:9","zone":"d1",)"
-        R"("state":"ready","capacity":{"cpu":1e999}})",
-        R"({"backend":"service","address":"127.0.0.1:9","zone":"d1",)"
-        R"("state":"ready","capacity":{"cpu":-1}})"};
+    const auto entry_with = [](const std::string& port, const std::string& cpu)
+    {
+        return R"({"backend":"service","zone":"d1","state":"ready",)"
+               R"("address":"127.0.0.1:)" +
+               port + R"(","capacity":{"cpu":)" + cpu + "}}";
+    };
+    const std::vector<std::string> odd_entries = {"{}",
+                                                  "\xff\xfe",
+                                                  std::string(200'000, '['),
+                                                  std::string(100'000, '[') +
+                                                      std::string(100'000, ']'),
+                                                  entry_with("99999", "16000"),
+                                                  entry_with("9", "1e999"),
+                                                  entry_with("9", "-1")};
     const auto write_odd_entries = [&](const std::string& prefix)
     {
         for (std::size_t i = 0; i < odd_entries.size(); ++i)
