Read replies of the platform without copying them

Change: the value is moved; offsets are read by whole_number, the one reader of numbers.

Evidence: a program that calls the earlier parse_append_reply with 200,000 levels ended with a segmentation fault (status 139); platform_client_suite/ append_deeply_nested_reply_is_read passes now. On the earlier code this test did not end by itself (the fault leaves its server thread running).

--- a/src/libruntime/platform_replies.cpp
+++ b/src/libruntime/platform_replies.cpp
@@ -1,6 +1,6 @@
 #include "platform_replies.hpp"
 
-#include <limits>
+#include "base/json_number.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -12,21 +12,13 @@
 
 using json = nlohmann::json;
 
-template <typename T>
-bool read_number(const json& object, const char* key, T& value)
+bool read_offset(const json& object, const char* key, std::uint64_t& value)
 {
     const auto at = object.find(key);
-    if (at == object.end() || !at->is_number_unsigned())
-    {
-        return false;
-    }
-    const auto number = at->get<std::uint64_t>();
-    if (number > std::numeric_limits<T>::max())
-    {
-        return false;
-    }
-    value = static_cast<T>(number);
-    return true;
+    const auto number =
+        at == object.end() ? std::nullopt : whole_number<std::uint64_t>(*at);
+    value = number.value_or(value);
+    return number.has_value();
 }
 
 bool read_text(const json& object, const char* key, std::string& value)
@@ -43,7 +35,13 @@
 json parse_object(const std::string& text)
 {
     json value = json::parse(text, nullptr, false);
-    return value.is_object() ? value : json();
+    // A copy of a deeply nested value would exhaust the stack: copying recurses
+    // once for each level, unlike parsing and destroying.
+    if (!value.is_object())
+    {
+        return {};
+    }
+    return value;
 }
 
 } // namespace
@@ -52,7 +50,7 @@
 {
     const json reply = parse_object(text);
     std::uint64_t offset = 0;
-    if (!reply.is_object() || !read_number(reply, "offset", offset))
+    if (!reply.is_object() || !read_offset(reply, "offset", offset))
     {
         return std::nullopt;
     }
@@ -65,15 +63,15 @@
     records_page page;
     if (!reply.is_object() || !reply.contains("records") ||
         !reply["records"].is_array() ||
-        !read_number(reply, "first_retained", page.first_retained) ||
-        !read_number(reply, "next", page.next))
+        !read_offset(reply, "first_retained", page.first_retained) ||
+        !read_offset(reply, "next", page.next))
     {
         return std::nullopt;
     }
     for (const json& item : reply["records"])
     {
         log_record record;
-        if (!item.is_object() || !read_number(item, "offset", record.offset) ||
+        if (!item.is_object() || !read_offset(item, "offset", record.offset) ||
             !read_text(item, "data", record.data))
         {
             return std::nullopt;
--- a/tests/unit/config/platform_client_test.cpp
+++ b/tests/unit/config/platform_client_test.cpp
@@ -126,6 +126,16 @@
     BOOST_TEST((code_of(200, "[") == platform_error::malformed));
 }
 
+// Guards against a reply whose copy exhausts the stack and ends the process.
+BOOST_AUTO_TEST_CASE(append_deeply_nested_reply_is_read)
+{
+    constexpr std::size_t depth = 200'000;
+    this->reply = R"({"offset":7,"x":)" + std::string(depth, '[') +
+                  std::string(depth, ']') + "}";
+    auto client = this->client();
+    BOOST_TEST(client.append("config", "{}", this->why).value() == 7U);
+}
+
 // Guards against a call that blocks beyond its timeout on a slow platform.
 BOOST_AUTO_TEST_CASE(append_slow_reply_times_out)
 {
