Refuse results that are nested deeper than 64 levels

A task whose result is deeply nested ended the jujubedrumd that had sent it: the result is serialised and the "task" field was copied, both with one recursion for each level. A "run_ms" of 1e308 was undefined behavior.

Change: such a result fails its task ("result is nested deeper than 64 levels", the bound of payloads); "task" is compared in place; a run time that is no number, negative or beyond 1e12 ms counts as unknown.

Evidence: a program that sends a task with the earlier backend_client ended with a segmentation fault (status 139) for 200,000 levels in "result" and in "task"; backend_client_suite passes now.

--- a/src/libjujubedrum/jobs/json_text.cpp
+++ b/src/libjujubedrum/jobs/json_text.cpp
@@ -13,37 +13,6 @@
 
 using nlohmann::json;
 
-/// Returns the maximum nesting depth of the text. Exact up to the first syntax
-/// error, where the parser stops as well.
-std::size_t nesting_depth(std::string_view text)
-{
-    std::size_t depth = 0;
-    std::size_t max_depth = 0;
-    bool in_string = false;
-    for (std::size_t i = 0; i < text.size(); ++i)
-    {
-        const char c = text[i];
-        if (in_string)
-        {
-            i += c == '\\' ? 1 : 0;
-            in_string = c != '"';
-        }
-        else if (c == '"')
-        {
-            in_string = true;
-        }
-        else if (c == '[' || c == '{')
-        {
-            max_depth = std::max(max_depth, ++depth);
-        }
-        else if ((c == ']' || c == '}') && depth > 0)
-        {
-            --depth;
-        }
-    }
-    return max_depth;
-}
-
 /// Parser callback that records the first key that occurs twice in an object.
 class duplicate_finder
 {
@@ -95,6 +64,35 @@
 
 } // namespace
 
+std::size_t nesting_depth(std::string_view text)
+{
+    std::size_t depth = 0;
+    std::size_t max_depth = 0;
+    bool in_string = false;
+    for (std::size_t i = 0; i < text.size(); ++i)
+    {
+        const char c = text[i];
+        if (in_string)
+        {
+            i += c == '\\' ? 1 : 0;
+            in_string = c != '"';
+        }
+        else if (c == '"')
+        {
+            in_string = true;
+        }
+        else if (c == '[' || c == '{')
+        {
+            max_depth = std::max(max_depth, ++depth);
+        }
+        else if ((c == ']' || c == '}') && depth > 0)
+        {
+            --depth;
+        }
+    }
+    return max_depth;
+}
+
 std::optional<json> parse_json(std::string_view text, std::size_t max_depth,
                                job_reason& why)
 {
--- a/src/libjujubedrum/jobs/json_text.hpp
+++ b/src/libjujubedrum/jobs/json_text.hpp
@@ -13,6 +13,10 @@
 namespace jujubedrum
 {
 
+/// Returns the maximum nesting depth of the text. Exact up to the first syntax
+/// error, where the parser stops as well.
+[[nodiscard]] std::size_t nesting_depth(std::string_view text);
+
 /// Parses untrusted JSON; on an error returns nothing and sets `why`. Refuses
 /// nesting deeper than `max_depth`, because serialising a value recurses once
 /// per level, and duplicate keys, because the value of such an object is
--- a/src/libruntime/backend_client.cpp
+++ b/src/libruntime/backend_client.cpp
@@ -1,5 +1,7 @@
 #include "backend_client.hpp"
 
+#include "jobs/json_text.hpp"
+
 #include <optional>
 #include <utility>
 
@@ -56,24 +58,36 @@
            response.get_header_value("Transfer-Encoding") == "chunked";
 }
 
+/// Nesting depth of a result, as of a payload, and the object around it.
+/// Serialising recurses once for each level.
+constexpr std::size_t max_reply_depth = 65;
+/// Longer run times are of no use as an observation.
+constexpr double max_run_ms = 1e12;
+
 task_reply parse_result(const task_request& request,
                         const httplib::Response& response)
 {
     const json body = json::parse(response.body, nullptr, false);
-    if (!is_complete(response) || !body.is_object() ||
-        body.value("task", json()) != json(request.task) ||
-        !body.contains("result"))
+    if (!is_complete(response) || !body.is_object() || !body.contains("task") ||
+        body["task"] != request.task || !body.contains("result"))
     {
         return failure(send_status::unknown, "reply is incomplete");
     }
+    if (nesting_depth(response.body) > max_reply_depth)
+    {
+        return failure(send_status::task_failed,
+                       "result is nested deeper than 64 levels");
+    }
     task_reply reply;
     reply.status = send_status::answered;
     reply.result = body["result"].dump();
-    const json run_ms = body.value("run_ms", json(0.0));
-    if (run_ms.is_number())
+    const auto run_ms = body.find("run_ms");
+    const double value = run_ms != body.end() && run_ms->is_number()
+                             ? run_ms->get<double>()
+                             : 0.0;
+    if (value > 0 && value <= max_run_ms)
     {
-        reply.run_time =
-            microseconds(static_cast<std::int64_t>(run_ms.get<double>() * 1e3));
+        reply.run_time = microseconds(static_cast<std::int64_t>(value * 1e3));
     }
     return reply;
 }
