Follow the list of instances past a malformed entry

One malformed entry, such as one with a port of 65536 or an unknown state, made jujubedrumd refuse the whole page of the platform's list. It asked for the changes since the same version again, got the same entry, and followed no change of the list until that entry changed ("the platform's list cannot be read").

Change: the malformed entry is left out, logged with its place, and the others hold. Its backend server gets no more tasks (it counts as leaving) until a readable entry is back; it is not removed, because a removal counts as proof that an instance has ended. For the same reason a full page with an entry of unreadable name removes nothing.

parse_malformed_page_is_refused_with_pointer expected the refusal of the page for three malformed entries. A page that is no list, or too large, is refused as before.

--- a/src/libjujubedrum/membership/instance_page.cpp
+++ b/src/libjujubedrum/membership/instance_page.cpp
@@ -136,6 +136,36 @@
     return info;
 }
 
+void leave_out(instance_page& page, const std::string& name,
+               const membership_reason& why)
+{
+    page.malformed.push_back(name);
+    if (page.malformed_reason.empty())
+    {
+        page.malformed_reason = why.message();
+    }
+}
+
+void read_entry(const json& entry, const std::string& pointer,
+                instance_page& page)
+{
+    if (!entry.is_object())
+    {
+        leave_out(
+            page, "",
+            {membership_error::malformed_page, pointer, "expected an object"});
+        return;
+    }
+    field_reader fields(entry, pointer);
+    instance_info info = read_instance(fields);
+    if (fields.why)
+    {
+        leave_out(page, info.name, *fields.why);
+        return;
+    }
+    page.changes.push_back(std::move(info));
+}
+
 std::optional<instance_page> read_page(const json& root, membership_reason& why)
 {
     constexpr auto max_version = std::numeric_limits<std::uint64_t>::max();
@@ -165,19 +195,7 @@
     for (std::size_t i = 0; i < changes->size(); ++i)
     {
         const std::string pointer = "/changes/" + std::to_string(i);
-        if (!(*changes)[i].is_object())
-        {
-            why = {membership_error::malformed_page, pointer,
-                   "expected an object"};
-            return std::nullopt;
-        }
-        field_reader entry((*changes)[i], pointer);
-        page.changes.push_back(read_instance(entry));
-        if (entry.why)
-        {
-            why = *entry.why;
-            return std::nullopt;
-        }
+        read_entry((*changes)[i], pointer, page);
     }
     return page;
 }
--- a/src/libjujubedrum/membership/instance_page.hpp
+++ b/src/libjujubedrum/membership/instance_page.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -20,6 +21,10 @@
     /// Whether the page holds all instances: those missing from it are removed.
     bool full = false;
     std::vector<instance_info> changes;
+    /// Names of the malformed entries, which are not among the changes; empty
+    /// where the name is unreadable.
+    std::vector<std::string> malformed = {};
+    std::string malformed_reason = {}; ///< of the first malformed entry
 
     bool operator==(const instance_page&) const = default;
 };
@@ -29,8 +34,8 @@
 inline constexpr std::size_t max_page_bytes = std::size_t{4} << 20U;
 
 /// Parses the reply of `GET /v1/instances`. Returns nothing if the page exceeds
-/// a bound or has a malformed entry, also one with an unknown role or state.
-/// Unknown fields are ignored.
+/// a bound or is no list. An entry that is malformed, also one with an unknown
+/// role or state, is left out; the others hold. Unknown fields are ignored.
 /// \param why set if nothing is returned; `where` is a JSON pointer.
 [[nodiscard]] std::optional<instance_page>
 parse_instance_page(std::string_view json, membership_reason& why);
--- a/src/libjujubedrum/membership/member_table.cpp
+++ b/src/libjujubedrum/membership/member_table.cpp
@@ -73,6 +73,7 @@
     {
         this->apply_change(info, requested_at);
     }
+    this->stop_use_of_malformed(page);
     this->version = page.version;
     this->has_list = true;
     this->limit_tombstones();
@@ -81,7 +82,13 @@
 void member_table::mark_missing_removed(const instance_page& page,
                                         instant requested_at)
 {
-    std::set<std::string> names;
+    std::set<std::string> names(page.malformed.begin(), page.malformed.end());
+    if (names.contains(""))
+    {
+        // Any instance may be the one whose name is unreadable, and removal
+        // counts as proof that an instance has ended.
+        return;
+    }
     for (const instance_info& info : page.changes)
     {
         names.insert(info.name);
@@ -101,6 +108,19 @@
     }
 }
 
+void member_table::stop_use_of_malformed(const instance_page& page)
+{
+    for (const std::string& name : page.malformed)
+    {
+        const auto at = this->servers.find(name);
+        if (at != this->servers.end() && at->second.state == listed_state::live)
+        {
+            at->second.state = listed_state::leaving;
+            ++this->change_counter;
+        }
+    }
+}
+
 void member_table::apply_change(const instance_info& info, instant requested_at)
 {
     if (info.name == this->own_info.name)
--- a/src/libjujubedrum/membership/member_table.hpp
+++ b/src/libjujubedrum/membership/member_table.hpp
@@ -147,6 +147,9 @@
         instant at{0};
     };
 
+    /// Starts no more tasks on backend servers with a malformed entry: it names
+    /// no server to use, but does not prove that the server has ended.
+    void stop_use_of_malformed(const instance_page& page);
     void apply_change(const instance_info& info, instant requested_at);
     void apply_entry(const instance_info& info, instant requested_at);
     void mark_missing_removed(const instance_page& page, instant requested_at);
--- a/src/libruntime/platform_link.cpp
+++ b/src/libruntime/platform_link.cpp
@@ -152,6 +152,13 @@
         if (page)
         {
             version = std::max(version, page->version);
+            if (!page->malformed.empty())
+            {
+                LOG(WARNING) << "members: malformed entries of the platform's "
+                                "list left out; count="
+                             << page->malformed.size() << " first=\""
+                             << page->malformed_reason << "\"";
+            }
             this->post(list_event{std::move(*page), requested_at});
         }
         if (failing != !page.has_value())
--- a/tests/unit/instance_page_test.cpp
+++ b/tests/unit/instance_page_test.cpp
@@ -1,4 +1,5 @@
 #include "membership/instance_page.hpp"
+#include "membership/member_table.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -42,13 +43,70 @@
     refuse("", "");
     refuse("[]", "");
     refuse(R"({"changes":[]})", "/");
-    refuse(R"({"version":1,"changes":[3]})", "/changes/0");
-    refuse(R"({"version":1,"changes":[{"name":"a","role":"entry",
-              "state":"lost"}]})",
-           "/changes/0/state");
-    refuse(R"({"version":1,"changes":[{"name":"a","role":"entry",
-              "domain":"d","address":"::1","port":65536,"state":"live"}]})",
-           "/changes/0/port");
+}
+
+// Guards against an odd entry that keeps the others from being followed, and
+// against one that adds or removes an instance.
+BOOST_AUTO_TEST_CASE(parse_malformed_entry_is_left_out_with_pointer)
+{
+    const auto leave_out = [](const std::string& entry, const std::string& name,
+                              const std::string& where)
+    {
+        membership_reason why;
+        const auto page = parse_instance_page(
+            R"({"version":2,"changes":[{"name":"b1","role":"backend",)"
+            R"("domain":"d1","address":"::1","port":9,"state":"live"},)" +
+                entry + "]}",
+            why);
+        BOOST_REQUIRE(page);
+        BOOST_TEST(page->version == 2U);
+        BOOST_REQUIRE_EQUAL(page->changes.size(), 1U);
+        BOOST_TEST(page->changes[0].name == "b1");
+        BOOST_REQUIRE_EQUAL(page->malformed.size(), 1U);
+        BOOST_TEST(page->malformed[0] == name);
+        BOOST_TEST(page->malformed_reason.find(where) != std::string::npos);
+    };
+    leave_out("3", "", "/changes/1");
+    leave_out(std::string(200'000, '[') + std::string(200'000, ']'), "",
+              "/changes/1");
+    leave_out(R"({"name":"a","role":"entry","state":"lost"})", "a",
+              "/changes/1/state");
+    for (const char* port :
+         {"65536", "-1", "1e308", "3.7", "18446744073709551616", "\"80\""})
+    {
+        leave_out(R"({"name":"a","role":"entry","domain":"d",)"
+                  R"("address":"::1","state":"live","port":)" +
+                      std::string(port) + "}",
+                  "a", "/changes/1/port");
+    }
+}
+
+// A malformed entry names no server to use, but is no proof of its end.
+BOOST_AUTO_TEST_CASE(list_malformed_entry_server_leaves_and_stays_listed)
+{
+    const std::string good =
+        R"({"name":"b1","role":"backend","domain":"d1","address":"::1",)"
+        R"("port":9,"slots":8,"state":"live"})";
+    member_table table(instance_info{}, 1);
+    membership_reason why;
+    const auto apply =
+        [&](const std::string& version, const std::string& entry, seconds at)
+    {
+        const auto page =
+            parse_instance_page(R"({"full":true,"version":)" + version +
+                                    R"(,"changes":[)" + entry + "]}",
+                                why);
+        BOOST_REQUIRE(page);
+        table.on_list(*page, at);
+    };
+    apply("1", good, seconds(1));
+    apply("2", R"({"name":"b1","role":"backend","port":65536})", seconds(2));
+    BOOST_REQUIRE_EQUAL(table.backends().size(), 1U);
+    BOOST_TEST((table.backends().at(0).state == listed_state::leaving));
+    apply("3", "5", seconds(3));
+    BOOST_TEST(table.backends().size() == 1U);
+    apply("4", good, seconds(4));
+    BOOST_TEST((table.backends().at(0).state == listed_state::live));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
