--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -499,6 +499,94 @@
     BOOST_REQUIRE(this->wait([&] { return this->servers_of("a") == 1; }));
 }
 
+// Guards against starting tasks for ever on a server whose entry is gone: it
+// was removed only once nothing ran there.
+BOOST_AUTO_TEST_CASE(server_entry_removed_while_busy_gets_no_new_tasks)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    this->submit("a", "0000000000000001", 4, 6000, milliseconds(30000));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 4; }));
+    const auto removed = std::move(this->servers["s2"]);
+    this->servers.erase("s2");
+    this->store.write_server("s2", "");
+    BOOST_REQUIRE(
+        this->wait([&] { return this->usable_cpu_of("a") <= 16000; }));
+    BOOST_TEST(this->results.count("0000000000000001") == 0);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_TEST(this->record.total_starts() == 4);
+    BOOST_TEST(this->record.violations().empty());
+}
+
+// An unreadable entry names no server to use, but what runs there is kept.
+BOOST_AUTO_TEST_CASE(server_entry_unreadable_no_new_tasks_until_it_is_back)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    this->submit("a", "0000000000000001", 4, 4000, milliseconds(30000));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 4; }));
+    auto without_entry = std::move(this->servers["s2"]);
+    this->servers.erase("s2");
+    this->store.write_server("s2", R"({"backend":5})");
+    BOOST_REQUIRE(
+        this->wait([&] { return this->usable_cpu_of("a") <= 16000; }));
+    BOOST_TEST(this->results.count("0000000000000001") == 0);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 4);
+    this->servers["s2"] = std::move(without_entry);
+    this->write_entry("s2");
+    BOOST_REQUIRE(this->wait([&] { return this->usable_cpu_of("a") > 16000; }));
+    BOOST_TEST(this->record.violations().empty());
+}
+
+// Guards against entries of another writer that end the process or keep the
+// instance from following the list, which it reads in pages of one key here.
+BOOST_AUTO_TEST_CASE(server_entries_of_another_writer_others_stay_in_use)
+{
+    const auto entry_with = [](const std::string& port, const std::string& cpu)
+    {
+        return R"({"backend":"service","zone":"d1","state":"ready",)"
+               R"("address":"127.0.0.1:)" +
+               port + R"(","capacity":{"cpu":)" + cpu + "}}";
+    };
+    const std::vector<std::string> odd_entries = {"{}",
+                                                  "\xff\xfe",
+                                                  std::string(200'000, '['),
+                                                  std::string(100'000, '[') +
+                                                      std::string(100'000, ']'),
+                                                  entry_with("99999", "16000"),
+                                                  entry_with("9", "1e999"),
+                                                  entry_with("9", "-1")};
+    const auto write_odd_entries = [&](const std::string& prefix)
+    {
+        for (std::size_t i = 0; i < odd_entries.size(); ++i)
+        {
+            this->store.write_server(prefix + std::to_string(i),
+                                     odd_entries[i]);
+        }
+    };
+    this->store.set_page_size(1);
+    write_odd_entries("odd &part=9#%/?");
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    write_odd_entries("z ");
+    this->add_server("s2");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    this->submit("a", "0000000000000001", 4, 30);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->usable_cpu_of("a") <= 32000);
+    BOOST_TEST(this->record.violations().empty());
+}
+
 // After a restart of all instances, requests arrive before any pool is taken.
 BOOST_AUTO_TEST_CASE(just_started_job_waits_for_first_holder)
 {
@@ -622,7 +710,7 @@
     this->submit("a", "0000000000000001", 1, 6000);
     BOOST_REQUIRE(this->wait([&] { return !holder.submissions().empty(); }));
     BOOST_CHECK(holder.interval_at_submission() <= max_open_job_interval);
-    this->pass(peer_mesh::recent_traffic_window + seconds(1));
+    this->run_for(peer_mesh::recent_traffic_window + seconds(1));
     BOOST_CHECK(holder.announced_interval() <= max_open_job_interval);
     holder.send(result_message{holder.submissions().front().ticket,
                                {job_outcome::completed, "", milliseconds(0)},
@@ -647,7 +735,7 @@
     BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
     job.ticket = 2;
     second.send(job);
-    this->pass(milliseconds(200));
+    this->run_for(milliseconds(200));
     first.send(cancel_message{job.request.id, "caller left", 1});
     BOOST_REQUIRE(this->wait([&] { return second.result_of(2).has_value(); }));
     BOOST_CHECK(second.result_of(2)->outcome == job_outcome::completed);
@@ -683,7 +771,7 @@
     BOOST_REQUIRE(this->wait([&] { return submissions() == 1; }));
     peer_standin& holder = one.submissions().empty() ? other : one;
     holder.announce_no_capacity();
-    this->pass(milliseconds(200));
+    this->run_for(milliseconds(200));
     submit("second");
     BOOST_REQUIRE(this->wait([&] { return submissions() == 2; }));
     BOOST_TEST((one.submissions().empty() || other.submissions().empty()));
@@ -715,7 +803,7 @@
         { return accepting.announced_interval() > max_open_job_interval; }));
     accepting.send(this->submission_of("0000000000000001", 5000));
     BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
-    this->pass(peer_mesh::recent_traffic_window + seconds(1));
+    this->run_for(peer_mesh::recent_traffic_window + seconds(1));
     BOOST_CHECK(accepting.announced_interval() <= max_open_job_interval);
 }
 
--- a/tests/unit/dispatch/node_fixture.hpp
+++ b/tests/unit/dispatch/node_fixture.hpp
@@ -63,13 +63,14 @@
     /// Returns the announcement of an instance for peers that do not read the
     /// store.
     [[nodiscard]] member_record member_of(const std::string& name);
-    /// Waits for the time, for what has to stay as it is.
-    void pass(milliseconds time);
-
     /// Returns the number of servers that the instance has sessions with.
     [[nodiscard]] std::size_t sessions_of(const std::string& name);
     /// Returns the highest token of the pools that the instance holds.
     [[nodiscard]] std::uint64_t token_of(const std::string& name);
+    /// Returns the capacity that the instance uses for new tasks, in
+    /// thousandths of a core. Once jobs were submitted, the remainder of each
+    /// server that is smaller than a task is not counted.
+    [[nodiscard]] std::uint64_t usable_cpu_of(const std::string& name);
 
     event_loop loop;
     log_store_standin store{loop};
