--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -107,7 +107,6 @@
 void pool_dispatcher::submit(job_request request, const job_terms& terms,
                              const job_origin& origin, instant now)
 {
-    this->meter.add_job(request);
     const auto at = this->jobs.find(request.id);
     pooled_job* job = nullptr;
     if (at != this->jobs.end())
@@ -131,10 +130,16 @@
         this->jobs.emplace(job->request.id, std::move(created));
     }
     this->deadlines.emplace(job->deadline, job->request.id);
+    const bool suitable = this->has_suitable_servers(*job, now);
+    if (suitable)
+    {
+        // A job that fits no server says nothing about usable capacity.
+        this->meter.add_job(job->request);
+    }
     const dispatch_load current_load = this->meter.measure(this->servers, now);
     job->free_cpu = current_load.free_cpu;
     job->servers = current_load.servers;
-    if (!this->has_suitable_servers(*job, now))
+    if (!suitable)
     {
         this->finish(*job, job_outcome::refused, "no server fits",
                      min_retry_after, now);
@@ -358,6 +363,7 @@
         return;
     }
     task->conclusive_from = now;
+    task->start_unanswered = false;
     this->launcher.poll(server);
 }
 
@@ -411,6 +417,7 @@
         {
             task.state = task_state::running;
         }
+        task.start_unanswered = false;
         return;
     }
     if (task.conclusive_from && *task.conclusive_from <= polled_at)
@@ -419,6 +426,29 @@
     }
 }
 
+std::size_t pool_dispatcher::on_lease_ended(const std::string& server,
+                                            instant now)
+{
+    held_server* held = this->find_server(server);
+    if (held == nullptr)
+    {
+        return 0;
+    }
+    std::vector<task_ref> runs = held->runs;
+    std::erase_if(runs,
+                  [](const task_ref& ref)
+                  {
+                      const pooled_task& task = ref.task();
+                      return task.start_unanswered ||
+                             task.state == task_state::starting;
+                  });
+    for (const task_ref& ref : runs)
+    {
+        this->release_run(ref, now);
+    }
+    return runs.size();
+}
+
 void pool_dispatcher::on_all_runs_ended(const std::string& server, instant now)
 {
     held_server* held = this->find_server(server);
@@ -528,6 +558,17 @@
     return true;
 }
 
+void pool_dispatcher::cancel_attempt(const std::string& id,
+                                     const job_origin& attempt,
+                                     std::string_view reason, instant now)
+{
+    const auto at = this->jobs.find(id);
+    if (at != this->jobs.end() && at->second->origin == attempt)
+    {
+        this->cancel(id, reason, now);
+    }
+}
+
 void pool_dispatcher::cancel_origin(std::uint64_t instance,
                                     std::string_view reason, instant now)
 {
--- a/src/libjujubedrum/dispatch/pool_dispatcher.hpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.hpp
@@ -80,6 +80,9 @@
     /// Ends a job that its caller no longer waits for as incomplete.
     /// \return false if no such job is open.
     bool cancel(const std::string& job, std::string_view reason, instant now);
+    /// Cancels a job unless a later attempt than this one waits for it.
+    void cancel_attempt(const std::string& job, const job_origin& attempt,
+                        std::string_view reason, instant now);
     /// Cancels the open jobs that an instance submitted.
     void cancel_origin(std::uint64_t instance, std::string_view reason,
                        instant now);
@@ -90,7 +93,12 @@
     /// \param polled_at when the poll was sent.
     void on_poll_reply(const std::string& server, const poll_reply& reply,
                        instant polled_at, instant now);
-    /// Call it once nothing that was started on the server runs any more.
+    /// Call it once the lease on the runs of the server has ended. Starts
+    /// without an answer may still be carried out, so their tasks remain there.
+    /// \return the number of runs that have ended.
+    std::size_t on_lease_ended(const std::string& server, instant now);
+    /// Call it once nothing that was started on the server runs any more, or
+    /// can appear there.
     void on_all_runs_ended(const std::string& server, instant now);
 
     /// Starts waiting tasks that fit, refuses jobs that can no longer meet
--- a/src/libjujubedrum/dispatch/pool_election.hpp
+++ b/src/libjujubedrum/dispatch/pool_election.hpp
@@ -125,7 +125,7 @@
                   const std::vector<instance_view>& live, const pool_id& pool);
 
     /// Returns the pools of `self` that another instance holds with a higher
-    /// token.
+    /// token, or with the same one and a smaller name.
     [[nodiscard]] static std::vector<pool_id>
     pools_to_give_up(const instance_view& self,
                      const std::vector<instance_view>& live);
@@ -135,11 +135,6 @@
     [[nodiscard]] static bool same_holder(const instance_view& before,
                                           const instance_view& now);
 
-    /// Returns whether an instance has restarted since `before`, or given up
-    /// all pools that it held, and so renews no more leases on them.
-    [[nodiscard]] static bool has_released(const instance_view& before,
-                                           const instance_view& now);
-
     /// Returns whether every pool in `lost` has a holder with a higher token
     /// on whose servers no runs of earlier holders remain.
     [[nodiscard]] static bool
--- a/src/libruntime/node/job_router.cpp
+++ b/src/libruntime/node/job_router.cpp
@@ -3,6 +3,7 @@
 #include "logging.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace jujubedrum
 {
@@ -28,9 +29,6 @@
 constexpr double drain_safety_factor = 2.5;
 /// Part of the grace period that is reserved for the last answers and the exit.
 constexpr milliseconds drain_margin{600};
-/// For requests of an earlier holder that are in transit when its leases
-/// expire.
-constexpr milliseconds lease_margin{100};
 
 std::uint64_t requested_cpu(const job_request& request)
 {
@@ -102,7 +100,7 @@
 void job_router::on_link_closed(std::uint64_t link, const instance_view& holder)
 {
     disconnected_holder disconnected{
-        holder, {}, event_loop::now(), std::nullopt};
+        link, holder, {}, event_loop::now(), std::nullopt};
     for (auto& [ticket, job] : this->open_jobs)
     {
         if (!job.local && job.link == link)
@@ -138,6 +136,15 @@
                                  job_callback done)
 {
     const std::uint64_t ticket = this->next_ticket++;
+    const auto earlier =
+        std::find_if(this->open_jobs.begin(), this->open_jobs.end(),
+                     [&request](const auto& entry)
+                     { return entry.second.request.id == request.id; });
+    if (earlier != this->open_jobs.end())
+    {
+        this->continue_job(earlier->first, ticket, terms, std::move(done));
+        return ticket;
+    }
     open_job job;
     job.request = std::move(request);
     job.terms = terms;
@@ -155,6 +162,39 @@
     return ticket;
 }
 
+void job_router::continue_job(std::uint64_t earlier, std::uint64_t ticket,
+                              const job_terms& terms, job_callback done)
+{
+    auto entry = this->open_jobs.extract(earlier);
+    entry.key() = ticket;
+    open_job& job = this->open_jobs.insert(std::move(entry)).position->second;
+    const job_callback earlier_done = std::exchange(job.done, std::move(done));
+    job.terms = terms;
+    job.accepted = event_loop::now();
+    this->counts.add("job_continued");
+    LOG(INFO) << "job: continued for the caller's next attempt; id="
+              << job.request.id << " holder=" << job.holder;
+    bool sent = true;
+    if (this->unrouted.erase(earlier) > 0)
+    {
+        this->unrouted.insert(ticket);
+        sent = false;
+    }
+    for (disconnected_holder& disconnected : this->disconnected_holders)
+    {
+        if (disconnected.tickets.erase(earlier) > 0)
+        {
+            disconnected.tickets.insert(ticket);
+            sent = false;
+        }
+    }
+    if (sent)
+    {
+        this->send_to_holder(ticket, job);
+    }
+    earlier_done({job_outcome::incomplete, "submitted again", milliseconds(0)});
+}
+
 bool job_router::ends_before_stop(const job_request& request,
                                   const job_terms& terms) const
 {
@@ -218,19 +258,29 @@
     if (job.local)
     {
         job.holder = this->settings.instance();
-        job.tried_holders.insert(job.holder);
+    }
+    else
+    {
+        heartbeat_message& chosen = this->peers[*best];
+        chosen.load.waiting_cpu += cpu; // until its next heartbeat
+        job.holder = chosen.instance.name;
+    }
+    job.tried_holders.insert(job.holder);
+    this->send_to_holder(ticket, job);
+}
+
+void job_router::send_to_holder(std::uint64_t ticket, const open_job& job)
+{
+    if (job.local)
+    {
         // The dispatcher may answer inside this call, which erases `job`.
         const job_request request = job.request;
         const job_terms terms = this->remaining_terms(job);
         this->dispatcher.submit(request, terms, {0, ticket}, event_loop::now());
         return;
     }
-    heartbeat_message& chosen = this->peers[*best];
-    chosen.load.waiting_cpu += cpu; // until its next heartbeat
-    job.holder = chosen.instance.name;
-    job.tried_holders.insert(job.holder);
-    this->mesh.send(
-        *best, submit_message{ticket, job.request, this->remaining_terms(job)});
+    this->mesh.send(job.link, submit_message{ticket, job.request,
+                                             this->remaining_terms(job)});
 }
 
 void job_router::defer_or_refuse(std::uint64_t ticket, const open_job& job)
@@ -327,11 +377,12 @@
     LOG(INFO) << "job: caller left; id=" << job.request.id;
     if (job.local)
     {
-        this->dispatcher.cancel(job.request.id, "caller left",
-                                event_loop::now());
+        this->dispatcher.cancel_attempt(job.request.id, {0, ticket},
+                                        "caller left", event_loop::now());
         return;
     }
-    this->mesh.send(job.link, cancel_message{job.request.id, "caller left"});
+    this->mesh.send(job.link,
+                    cancel_message{job.request.id, "caller left", ticket});
 }
 
 void job_router::resubmit_orphaned_jobs(const instance_view& self)
@@ -365,29 +416,44 @@
     }
 }
 
+bool job_router::has_restarted(const disconnected_holder& disconnected) const
+{
+    // A link that was opened earlier may be left from a boot before that of the
+    // holder, whose end has not been noticed.
+    return std::any_of(this->peers.upper_bound(disconnected.link),
+                       this->peers.end(),
+                       [&disconnected](const auto& entry)
+                       {
+                           const instance_view& peer = entry.second.instance;
+                           return peer.name == disconnected.instance.name &&
+                                  peer.boot != disconnected.instance.boot;
+                       });
+}
+
 std::optional<job_router::resubmission_basis>
 job_router::find_basis(disconnected_holder& disconnected,
                        const std::vector<instance_view>& instances) const
 {
     const instant now = event_loop::now();
-    for (const instance_view& instance : instances)
+    const bool rejoined = std::any_of(
+        instances.begin(), instances.end(),
+        [&disconnected](const instance_view& instance) {
+            return pool_election::same_holder(disconnected.instance, instance);
+        });
+    if (rejoined)
     {
-        if (pool_election::same_holder(disconnected.instance, instance))
-        {
-            return resubmission_basis::rejoined;
-        }
-        if (!disconnected.released &&
-            pool_election::has_released(disconnected.instance, instance))
-        {
-            disconnected.released = now;
-        }
+        return resubmission_basis::rejoined;
+    }
+    if (!disconnected.restarted && this->has_restarted(disconnected))
+    {
+        disconnected.restarted = now;
     }
     if (pool_election::all_clean(disconnected.instance.holds, instances))
     {
         return resubmission_basis::pools_clean;
     }
-    if (disconnected.released && now - *disconnected.released >
-                                     this->settings.max_lease() + lease_margin)
+    if (disconnected.restarted &&
+        now - *disconnected.restarted > this->settings.lease_expiry())
     {
         return resubmission_basis::leases_ended;
     }
--- a/src/libruntime/node/job_router.hpp
+++ b/src/libruntime/node/job_router.hpp
@@ -35,8 +35,10 @@
                peer_mesh& links, pool_dispatcher& local,
                metrics_registry& registry, event_counts& events);
 
-    /// Routes a job. `done` is called once, possibly before this returns.
-    /// Returns the ticket that identifies the job here.
+    /// Routes a job. If it is open already, it stays with its holder, and the
+    /// caller's earlier attempt is answered as incomplete. `done` is called
+    /// once, possibly before this returns. Returns the ticket that identifies
+    /// the job here.
     std::uint64_t submit(job_request request, const job_terms& terms,
                          job_callback done);
     /// The caller disconnected before the answer: cancels its job. `done` is
@@ -85,21 +87,29 @@
     /// A holder whose link closed, and the open jobs that were sent to it.
     struct disconnected_holder
     {
+        std::uint64_t link = 0;
         instance_view instance;
         std::set<std::uint64_t> tickets;
         instant since{0}; ///< when the link closed
-        /// When it was first seen to renew no more leases.
-        std::optional<instant> released;
+        /// When it was first seen to have restarted.
+        std::optional<instant> restarted;
     };
     /// Why no second run of a disconnected holder's job can overlap the first.
     enum class resubmission_basis
     {
         rejoined,     ///< the holder reconnected, and gets the job again
         pools_clean,  ///< successors took all its servers over
-        leases_ended, ///< the holder released its pools, and its leases ended
+        leases_ended, ///< the holder has restarted, and its leases have ended
     };
 
     void route_job(std::uint64_t ticket, open_job& job);
+    void send_to_holder(std::uint64_t ticket, const open_job& job);
+    /// Continues an open job for the caller's next attempt, under a new ticket.
+    void continue_job(std::uint64_t earlier, std::uint64_t ticket,
+                      const job_terms& terms, job_callback done);
+    /// Returns whether a link to a later boot of the holder is open.
+    [[nodiscard]] bool
+    has_restarted(const disconnected_holder& disconnected) const;
     /// Returns why the jobs of a disconnected holder may be routed again; empty
     /// while runs of them may remain.
     [[nodiscard]] std::optional<resubmission_basis>
--- a/src/libruntime/node/pool_manager.cpp
+++ b/src/libruntime/node/pool_manager.cpp
@@ -131,23 +131,29 @@
     for (const std::string& id : released.servers)
     {
         this->released_servers[link].insert(id);
-        this->end_handover(link, id);
+        const auto at = this->servers.find(id);
+        if (this->end_handover(link, id) && at != this->servers.end())
+        {
+            at->second.left_until = instant(0);
+        }
     }
     this->update_sessions();
 }
 
-void pool_manager::end_handover(std::uint64_t link, const std::string& server)
+bool pool_manager::end_handover(std::uint64_t link, const std::string& server)
 {
     const auto at = this->pending_handovers.find(server);
     if (at == this->pending_handovers.end())
     {
-        return;
+        return false;
     }
     at->second.links.erase(link);
-    if (at->second.links.empty())
+    if (!at->second.links.empty())
     {
-        this->pending_handovers.erase(at);
+        return false;
     }
+    this->pending_handovers.erase(at);
+    return true;
 }
 
 void pool_manager::drain()
@@ -261,12 +267,7 @@
     {
         if (!change.info)
         {
-            const auto at = this->servers.find(change.id);
-            if (at != this->servers.end() && !at->second.missing_since)
-            {
-                LOG(INFO) << "server: entry removed; server=" << change.id;
-                at->second.missing_since = now;
-            }
+            this->on_missing_entry(change);
             continue;
         }
         this->on_domain_entry(change.info->domain);
@@ -280,6 +281,7 @@
         known.info = *change.info;
         known.last_update = now;
         known.missing_since.reset();
+        known.unreadable = false;
         const auto at = this->sessions.find(change.id);
         if (at != this->sessions.end())
         {
@@ -290,6 +292,31 @@
     this->update_sessions();
 }
 
+void pool_manager::on_missing_entry(const server_change& change)
+{
+    const auto at = this->servers.find(change.id);
+    if (at == this->servers.end())
+    {
+        return;
+    }
+    known_server& known = at->second;
+    known.unreadable = known.unreadable || change.unreadable;
+    if (!known.missing_since)
+    {
+        LOG(INFO) << "server: entry "
+                  << (change.unreadable ? "unreadable" : "removed")
+                  << "; server=" << change.id;
+        known.missing_since = event_loop::now();
+    }
+}
+
+void pool_manager::stop_new_tasks(const server_info& server)
+{
+    server_info draining_server = server;
+    draining_server.draining = true;
+    this->dispatcher.set_server(draining_server);
+}
+
 void pool_manager::on_domain_entry(const std::string& domain)
 {
     const instant now = event_loop::now();
@@ -471,16 +498,16 @@
     LOG(INFO) << "pool: taken; domain=" << pool.domain
               << " shard=" << pool.shard << " token=" << token
               << " store=" << (this->store_reachable ? "up" : "down");
-    const instant until =
-        event_loop::now() + this->settings.stop_grace_period() - release_margin;
-    for (const auto& [id, server] : this->servers)
+    const instant exit = event_loop::now() + this->settings.stop_grace_period();
+    for (auto& [id, server] : this->servers)
     {
         if (pool_of(server.info) == pool)
         {
             const auto links = this->users_of(id, pool);
             if (!links.empty())
             {
-                this->pending_handovers[id] = {links, until};
+                this->pending_handovers[id] = {links, exit - release_margin};
+                server.left_until = exit + this->settings.lease_expiry();
             }
         }
     }
@@ -598,7 +625,8 @@
             known.missing_since &&
             now - *known.missing_since > missing_entry_grace_period;
         const auto session = this->sessions.find(id);
-        if (expired && !this->dispatcher.has_runs(id))
+        if (expired && now >= known.left_until &&
+            !this->dispatcher.has_runs(id))
         {
             if (session != this->sessions.end())
             {
@@ -608,6 +636,10 @@
             at = this->servers.erase(at);
             continue;
         }
+        if ((expired || known.unreadable) && session != this->sessions.end())
+        {
+            this->stop_new_tasks(known.info);
+        }
         const auto hold = this->held.find(pool_of(known.info));
         if (session == this->sessions.end() && hold != this->held.end() &&
             this->pending_handovers.count(id) == 0 && !known.missing_since)
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -147,6 +147,80 @@
     BOOST_TEST(this->record.violations().empty());
 }
 
+// Guards against taking a pool as clean because the entry of a server on which
+// the stopping holder still has a run was removed.
+BOOST_AUTO_TEST_CASE(holder_stopped_server_entry_removed_runs_once)
+{
+    this->add_server("s1", "d1");
+    this->start_node("a", "d1");
+    this->start_node("b", "d1");
+    this->start_node("c", "d2");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["c"]->node().ready(); }));
+    this->submit("c", "0000000000000001", 1, 5500);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->add_server("s2", "d2");
+    BOOST_REQUIRE(this->wait_for_servers("c", 1));
+    this->nodes["a"]->node().drain();
+    BOOST_REQUIRE(this->wait([&] { return this->holds_all_pools("b"); }));
+    const auto unlisted = this->unlist_server("s1");
+    const instant removed = event_loop::now();
+    this->wait([removed]
+               { return event_loop::now() - removed >= milliseconds(3500); });
+    this->nodes.erase("a");
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_TEST(this->record.violations().empty());
+}
+
+// Guards against taking a pool as clean because the entry of a server was
+// removed before the successor of a killed holder read the list.
+BOOST_AUTO_TEST_CASE(holder_killed_server_unknown_to_successor_runs_once)
+{
+    this->add_server("s1", "d1");
+    this->start_node("a", "d1");
+    this->start_node("c", "d2");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["c"]->node().ready(); }));
+    this->submit("c", "0000000000000001", 1, 5500);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    const auto unlisted = this->unlist_server("s1");
+    this->add_server("s2", "d2");
+    this->add_server("s3", "d1");
+    BOOST_REQUIRE(this->wait_for_servers("c", 1));
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    this->start_node("b", "d1");
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["b"]->node().ready(); }));
+    const instant started = event_loop::now();
+    this->wait([started]
+               { return event_loop::now() - started >= milliseconds(1000); });
+    this->nodes.erase("a");
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_TEST(this->record.violations().empty());
+}
+
+// Guards against a job that waits at a stopping holder without a reachable
+// server until that holder exits, while its successor has free servers (part a
+// of the TWICE incident, seed 503).
+BOOST_AUTO_TEST_CASE(holder_stopping_lost_its_server_job_runs_elsewhere)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->start_node("c");
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["c"]->node().ready(); }));
+    this->submit("c", "0000000000000001", 1, 1500);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->add_server("s2");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    this->nodes["a"]->node().drain();
+    BOOST_REQUIRE(this->wait_for_servers("c", 1));
+    this->servers["s1"]->set_unresponsive(true);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.violations().empty());
+}
+
 // Guards against waiting for the takeover of a server that cannot be reached
 // although its last holder has ended and its leases with it.
 BOOST_AUTO_TEST_CASE(holder_restarted_server_cut_off_job_runs_after_lease)
@@ -252,7 +326,7 @@
     BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
     this->servers["s1"]->drop_stop_requests(std::numeric_limits<int>::max());
     this->nodes["a"]->node().drain();
-    accepting.send(cancel_message{job.request.id, "caller left"});
+    accepting.send(cancel_message{job.request.id, "caller left", job.ticket});
     job.ticket = 2;
     accepting.send(job);
     BOOST_REQUIRE(
@@ -425,6 +499,94 @@
     BOOST_REQUIRE(this->wait([&] { return this->servers_of("a") == 1; }));
 }
 
+// Guards against starting tasks for ever on a server whose entry is gone: it
+// was removed only once nothing ran there.
+BOOST_AUTO_TEST_CASE(server_entry_removed_while_busy_gets_no_new_tasks)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    this->submit("a", "0000000000000001", 4, 6000, milliseconds(30000));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 4; }));
+    const auto removed = std::move(this->servers["s2"]);
+    this->servers.erase("s2");
+    this->store.write_server("s2", "");
+    BOOST_REQUIRE(
+        this->wait([&] { return this->usable_cpu_of("a") <= 16000; }));
+    BOOST_TEST(this->results.count("0000000000000001") == 0);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_TEST(this->record.total_starts() == 4);
+    BOOST_TEST(this->record.violations().empty());
+}
+
+// An unreadable entry names no server to use, but what runs there is kept.
+BOOST_AUTO_TEST_CASE(server_entry_unreadable_no_new_tasks_until_it_is_back)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    this->submit("a", "0000000000000001", 4, 4000, milliseconds(30000));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 4; }));
+    auto without_entry = std::move(this->servers["s2"]);
+    this->servers.erase("s2");
+    this->store.write_server("s2", R"({"backend":5})");
+    BOOST_REQUIRE(
+        this->wait([&] { return this->usable_cpu_of("a") <= 16000; }));
+    BOOST_TEST(this->results.count("0000000000000001") == 0);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 4);
+    this->servers["s2"] = std::move(without_entry);
+    this->write_entry("s2");
+    BOOST_REQUIRE(this->wait([&] { return this->usable_cpu_of("a") > 16000; }));
+    BOOST_TEST(this->record.violations().empty());
+}
+
+// Guards against entries of another writer that end the process or keep the
+// instance from following the list, which it reads in pages of one key here.
+BOOST_AUTO_TEST_CASE(server_entries_of_another_writer_others_stay_in_use)
+{
+    const auto entry_with = [](const std::string& port, const std::string& cpu)
+    {
+        return R"({"backend":"service","zone":"d1","state":"ready",)"
+               R"("address":"127.0.0.1:)" +
+               port + R"(","capacity":{"cpu":)" + cpu + "}}";
+    };
+    const std::vector<std::string> odd_entries = {"{}",
+                                                  "\xff\xfe",
+                                                  std::string(200'000, '['),
+                                                  std::string(100'000, '[') +
+                                                      std::string(100'000, ']'),
+                                                  entry_with("99999", "16000"),
+                                                  entry_with("9", "1e999"),
+                                                  entry_with("9", "-1")};
+    const auto write_odd_entries = [&](const std::string& prefix)
+    {
+        for (std::size_t i = 0; i < odd_entries.size(); ++i)
+        {
+            this->store.write_server(prefix + std::to_string(i),
+                                     odd_entries[i]);
+        }
+    };
+    this->store.set_page_size(1);
+    write_odd_entries("odd &part=9#%/?");
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    write_odd_entries("z ");
+    this->add_server("s2");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    this->submit("a", "0000000000000001", 4, 30);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->usable_cpu_of("a") <= 32000);
+    BOOST_TEST(this->record.violations().empty());
+}
+
 // After a restart of all instances, requests arrive before any pool is taken.
 BOOST_AUTO_TEST_CASE(just_started_job_waits_for_first_holder)
 {
@@ -548,7 +710,7 @@
     this->submit("a", "0000000000000001", 1, 6000);
     BOOST_REQUIRE(this->wait([&] { return !holder.submissions().empty(); }));
     BOOST_CHECK(holder.interval_at_submission() <= max_open_job_interval);
-    this->pass(peer_mesh::recent_traffic_window + seconds(1));
+    this->run_for(peer_mesh::recent_traffic_window + seconds(1));
     BOOST_CHECK(holder.announced_interval() <= max_open_job_interval);
     holder.send(result_message{holder.submissions().front().ticket,
                                {job_outcome::completed, "", milliseconds(0)},
@@ -558,6 +720,71 @@
         this->wait([&] { return holder.announced_interval() > seconds(1); }));
 }
 
+// Guards against a late report of an earlier attempt that ends the next one.
+BOOST_AUTO_TEST_CASE(holder_earlier_caller_left_late_next_attempt_completes)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    peer_standin first(this->loop, "b", this->member_of("a"), {});
+    peer_standin second(this->loop, "c", this->member_of("a"), {});
+    BOOST_REQUIRE(
+        this->wait([&] { return first.linked() && second.linked(); }));
+    submit_message job = this->submission_of("0000000000000001", 1000);
+    first.send(job);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    job.ticket = 2;
+    second.send(job);
+    this->run_for(milliseconds(200));
+    first.send(cancel_message{job.request.id, "caller left", 1});
+    BOOST_REQUIRE(this->wait([&] { return second.result_of(2).has_value(); }));
+    BOOST_CHECK(second.result_of(2)->outcome == job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() == 1);
+}
+
+// Guards against two holders with the same job: the instance had not noticed
+// that the connection of the caller's earlier attempt was broken.
+BOOST_AUTO_TEST_CASE(job_open_submitted_again_stays_with_its_holder)
+{
+    this->start_node("a");
+    std::list<peer_standin> holders;
+    for (std::uint32_t i = 0; i < 2; ++i)
+    {
+        holders.emplace_back(this->loop, "h" + std::to_string(i),
+                             this->member_of("a"),
+                             std::vector<pool_hold>{{{"d9", i}, 1024, true}});
+    }
+    peer_standin& one = holders.front();
+    peer_standin& other = holders.back();
+    BOOST_REQUIRE(this->wait([&] { return one.linked() && other.linked(); }));
+    const submit_message job = this->submission_of("0000000000000001", 6000, 8);
+    const auto submit = [&](const std::string& attempt)
+    {
+        return this->nodes["a"]->node().submit(
+            job.request, job.terms,
+            [this, attempt](const job_result& result)
+            { this->results[attempt] = result; });
+    };
+    const auto submissions = [&]
+    { return one.submissions().size() + other.submissions().size(); };
+    const std::uint64_t earlier = submit("first");
+    BOOST_REQUIRE(this->wait([&] { return submissions() == 1; }));
+    peer_standin& holder = one.submissions().empty() ? other : one;
+    holder.announce_no_capacity();
+    this->run_for(milliseconds(200));
+    submit("second");
+    BOOST_REQUIRE(this->wait([&] { return submissions() == 2; }));
+    BOOST_TEST((one.submissions().empty() || other.submissions().empty()));
+    BOOST_CHECK(this->wait_for("first"));
+    BOOST_CHECK(this->results["first"].outcome == job_outcome::incomplete);
+    this->nodes["a"]->node().on_caller_disconnected(earlier);
+    holder.send(result_message{holder.submissions().back().ticket,
+                               {job_outcome::completed, "", milliseconds(0)},
+                               {}});
+    BOOST_REQUIRE(this->wait_for("second"));
+    BOOST_CHECK(this->results["second"].outcome == job_outcome::completed);
+}
+
 // Guards against a job that waits 3.5 s for its holder to count as dead.
 BOOST_AUTO_TEST_CASE(holder_job_open_accepting_instance_gets_short_interval)
 {
@@ -576,7 +803,7 @@
         { return accepting.announced_interval() > max_open_job_interval; }));
     accepting.send(this->submission_of("0000000000000001", 5000));
     BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
-    this->pass(peer_mesh::recent_traffic_window + seconds(1));
+    this->run_for(peer_mesh::recent_traffic_window + seconds(1));
     BOOST_CHECK(accepting.announced_interval() <= max_open_job_interval);
 }
 
@@ -729,6 +956,50 @@
     BOOST_TEST(this->record.violations().empty());
 }
 
+// Guards against counting a lease as ended while a renewal that got no answer
+// can still prolong it.
+BOOST_AUTO_TEST_CASE(renewals_carried_out_by_unresponsive_server_no_second_run)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->servers["s1"]->set_late_times_shifted(true);
+    this->submit("a", "0000000000000001", 1, 3500, milliseconds(15000));
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->add_server("s2");
+    // By then, polls wait less long than at an idle server.
+    this->run_for(milliseconds(500));
+    // By then, polls wait less long than at an idle server.
+    this->run_for(milliseconds(500));
+    this->servers["s1"]->delay_renewals(1000, milliseconds(800));
+    this->servers["s1"]->set_unresponsive(true);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.violations().empty());
+}
+
+// Guards against a second run of a task whose start is carried out late by a
+// server that no longer answers.
+BOOST_AUTO_TEST_CASE(start_carried_out_by_unresponsive_server_no_second_run)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->servers["s1"]->set_late_times_shifted(true);
+    this->servers["s1"]->delay_starts(1, milliseconds(3000));
+    this->submit("a", "0000000000000001", 1, 2500, milliseconds(15000));
+    this->run_for(milliseconds(20));
+    this->servers["s1"]->set_unresponsive(true);
+    this->add_server("s2");
+    this->run_for(milliseconds(3500));
+    this->servers["s1"]->set_unresponsive(false);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.violations().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubedrum
--- a/tests/unit/dispatch/node_fixture.cpp
+++ b/tests/unit/dispatch/node_fixture.cpp
@@ -94,11 +94,25 @@
                              server.entry(this->domains[id], server.port()));
 }
 
+std::unique_ptr<task_server_standin>
+node_fixture::unlist_server(const std::string& id)
+{
+    auto server = std::move(this->servers.at(id));
+    this->servers.erase(id);
+    this->store.write_server(id, "");
+    return server;
+}
+
 std::size_t node_fixture::servers_of(const std::string& name)
 {
-    const auto state = nlohmann::json::parse(this->nodes[name]->node().dump());
     constexpr std::size_t cpu = 16000;
-    return state["total_cpu"].get<std::size_t>() / (cpu / 2) / 2;
+    return this->usable_cpu_of(name) / (cpu / 2) / 2;
+}
+
+std::uint64_t node_fixture::usable_cpu_of(const std::string& name)
+{
+    const auto state = nlohmann::json::parse(this->nodes[name]->node().dump());
+    return state["total_cpu"].get<std::uint64_t>();
 }
 
 std::size_t node_fixture::sessions_of(const std::string& name)
@@ -173,12 +187,6 @@
     return {name, "127.0.0.1", this->peer_ports[name], 1, "d1", 1000};
 }
 
-void node_fixture::pass(milliseconds time)
-{
-    const instant until = event_loop::now() + time;
-    this->wait([until] { return event_loop::now() >= until; });
-}
-
 bool node_fixture::wait_for(const std::string& job)
 {
     return this->wait([&] { return this->results.count(job) > 0; });
--- a/tests/unit/dispatch/pool_election_test.cpp
+++ b/tests/unit/dispatch/pool_election_test.cpp
@@ -168,22 +168,17 @@
     BOOST_TEST(!pool_election::all_clean(lost, {next}));
 }
 
-// A holder that only does not answer may still renew its leases.
-BOOST_AUTO_TEST_CASE(holder_restarted_or_without_its_pools_has_released_them)
-{
-    instance_view before = make_instance("a", "d1");
-    before.boot = 1;
-    before.holds = {{{"d1", 0}, 5, true}, {{"d1", 1}, 6, true}};
-    instance_view now = before;
-    now.holds.pop_back();
-    BOOST_TEST(!pool_election::has_released(before, now));
-    now.holds.clear();
-    BOOST_TEST(pool_election::has_released(before, now));
-    now = before;
-    now.boot = 2;
-    BOOST_TEST(pool_election::has_released(before, now));
-    now.name = "b";
-    BOOST_TEST(!pool_election::has_released(before, now));
+// Guards against two holders that keep a pool under the same derived token and
+// stop each other's runs.
+BOOST_AUTO_TEST_CASE(two_holders_with_equal_tokens_one_gives_up)
+{
+    instance_view a = make_instance("a", "d1");
+    instance_view b = make_instance("b", "d1");
+    a.holds = {{{"d1", 0}, 5, true}};
+    b.holds = a.holds;
+    const auto given_up = pool_election::pools_to_give_up(a, {b}).size() +
+                          pool_election::pools_to_give_up(b, {a}).size();
+    BOOST_TEST(given_up == 1U);
 }
 
 // Guards against taking a reconnected holder for unchanged: a reset of its link
