Name servers in heartbeats that a successor may not know

What callers could see: a task that runs on two servers. A successor that read the list while the entry of a server was missing counted its pool as clean without that server, although the lost holder had runs there, and the accepting instance submitted the job again at once.

The heartbeat of a holder names the servers on which it has runs and that have no entry, or one that came less than 2 s ago. The list is empty in normal operation, so heartbeats cost what they did.

--- a/src/libjujubedrum/dispatch/pool_election.hpp
+++ b/src/libjujubedrum/dispatch/pool_election.hpp
@@ -56,6 +56,9 @@
     std::uint32_t cpu = 0; ///< thousandths of a core
     bool draining = false;
     std::vector<pool_hold> holds;
+    /// Servers on which it may have runs and that other instances may not know,
+    /// since they have no entry or a new one.
+    std::vector<std::string> unlisted_servers = {};
 
     bool operator==(const instance_view&) const = default;
 };
--- a/src/libruntime/node/dispatch.capnp
+++ b/src/libruntime/node/dispatch.capnp
@@ -21,6 +21,7 @@
   pools @5 :List(PoolHold);
   load @6 :Load;
   intervalMs @7 :UInt32;
+  unlistedServers @8 :List(Text);
 }
 
 struct Load {
--- a/src/libruntime/node/dispatch.capnp.h
+++ b/src/libruntime/node/dispatch.capnp.h
@@ -55,7 +55,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c4b0bf11dac93599, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c4b0bf11dac93599, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -309,6 +309,9 @@
 
   inline  ::uint32_t getIntervalMs() const;
 
+  inline bool hasUnlistedServers() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getUnlistedServers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -377,6 +380,14 @@
   inline  ::uint32_t getIntervalMs();
   inline void setIntervalMs( ::uint32_t value);
 
+  inline bool hasUnlistedServers();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getUnlistedServers();
+  inline void setUnlistedServers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setUnlistedServers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initUnlistedServers(unsigned int size);
+  inline void adoptUnlistedServers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownUnlistedServers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1466,6 +1477,44 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Hello::Reader::hasUnlistedServers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasUnlistedServers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Hello::Reader::getUnlistedServers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Hello::Builder::getUnlistedServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setUnlistedServers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void Hello::Builder::setUnlistedServers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Hello::Builder::initUnlistedServers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptUnlistedServers(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Hello::Builder::disownUnlistedServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Load::Reader::getTotalCpu() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/libruntime/node/peer_message.cpp
+++ b/src/libruntime/node/peer_message.cpp
@@ -47,6 +47,12 @@
         pools[i].setToken(in.instance.holds[i].token);
         pools[i].setClean(in.instance.holds[i].clean);
     }
+    auto unlisted = out.initUnlistedServers(
+        static_cast<unsigned>(in.instance.unlisted_servers.size()));
+    for (unsigned i = 0; i < unlisted.size(); ++i)
+    {
+        unlisted.set(i, in.instance.unlisted_servers[i]);
+    }
     put_load(out.initLoad(), in.load);
     out.setIntervalMs(static_cast<std::uint32_t>(in.interval.count()));
 }
@@ -65,6 +71,10 @@
                                       hold.getToken(),
                                       hold.getClean()});
     }
+    for (const auto server : in.getUnlistedServers())
+    {
+        out.instance.unlisted_servers.emplace_back(server);
+    }
     out.load = get_load(in.getLoad());
     out.interval = milliseconds(in.getIntervalMs());
     return out;
--- a/src/libruntime/node/pool_manager.cpp
+++ b/src/libruntime/node/pool_manager.cpp
@@ -24,6 +24,9 @@
 /// Entries that expired while the store was unreachable are rewritten within
 /// 2 s, so a server is removed only after this time without one.
 constexpr milliseconds missing_entry_grace_period{2500};
+/// Within this time the other instances that follow the list have read a new
+/// entry: they read it every 0.4 s, and repeat a failed read.
+constexpr milliseconds new_entry_period{2000};
 /// Up to this number of announced instances, a starting one watches the list of
 /// servers before it knows whether it is a candidate for pools. In a larger
 /// system all of them would read the list at the same time.
@@ -203,9 +206,23 @@
     {
         view.holds.push_back({pool, hold.token, this->is_clean(pool)});
     }
+    for (const auto& [id, session] : this->sessions)
+    {
+        if (this->dispatcher.has_runs(id) && this->is_unlisted(id))
+        {
+            view.unlisted_servers.push_back(id);
+        }
+    }
     return view;
 }
 
+bool pool_manager::is_unlisted(const std::string& server) const
+{
+    const auto at = this->servers.find(server);
+    return at == this->servers.end() || at->second.missing_since ||
+           event_loop::now() - at->second.known_since < new_entry_period;
+}
+
 bool pool_manager::is_clean(const pool_id& pool) const
 {
     return std::all_of(this->servers.begin(), this->servers.end(),
@@ -271,7 +288,12 @@
             continue;
         }
         this->on_domain_entry(change.info->domain);
-        known_server& known = this->servers[change.id];
+        const auto [at_known, added] = this->servers.try_emplace(change.id);
+        known_server& known = at_known->second;
+        if (added || known.missing_since)
+        {
+            known.known_since = now;
+        }
         if (known.info.draining != change.info->draining)
         {
             LOG(INFO) << "server: "
--- a/src/libruntime/node/pool_manager.hpp
+++ b/src/libruntime/node/pool_manager.hpp
@@ -109,6 +109,7 @@
     {
         server_info info;
         instant last_update{0}; ///< when its entry was last received
+        instant known_since{0}; ///< since its entry came, or came back
         /// When its entry was found removed; empty while there is one.
         std::optional<instant> missing_since;
         /// Until then a stopping holder may have runs on it.
@@ -146,6 +147,8 @@
     /// Returns the number of servers by failure domain, for the domains whose
     /// pools this instance may claim.
     [[nodiscard]] std::map<std::string, std::size_t> claimable_servers() const;
+    /// Returns whether a successor may not know the server.
+    [[nodiscard]] bool is_unlisted(const std::string& server) const;
     /// Returns whether all servers of the pool were taken over, so that no run
     /// of an earlier holder remains on them.
     [[nodiscard]] bool is_clean(const pool_id& pool) const;
--- a/tests/unit/dispatch/peer_message_test.cpp
+++ b/tests/unit/dispatch/peer_message_test.cpp
@@ -47,7 +47,8 @@
 BOOST_AUTO_TEST_CASE(heartbeat_and_others_encoded_and_decoded_are_equal)
 {
     heartbeat_message heartbeat;
-    heartbeat.instance = {"e1", 77, "d1", 250, true, {{{"d1", 3}, 4096}}};
+    heartbeat.instance = {"e1",        77, "d1", 250, true, {{{"d1", 3}, 4096}},
+                          {"s1", "s2"}};
     heartbeat.load = {100, 50, 25, 12.5};
     heartbeat.interval = milliseconds(360);
     const std::vector<dispatch_message> messages{
