Serve no request whose caller has already left

On an instance that lags behind, the request of an attempt that its caller has given up is read seconds later; the job was started, and cancelled as soon as the end of the connection was read, while the caller's next attempt was running elsewhere.

The test failed before (this->served == 0 has failed [1 != 0]). A request is served only if no end of its connection is waiting behind it.

--- a/src/libruntime/node/http_server.cpp
+++ b/src/libruntime/node/http_server.cpp
@@ -284,6 +284,13 @@
 
     void serve()
     {
+        // On an instance that lags behind, a request may be read long after its
+        // caller has left and sent it again to another one.
+        if (closed_by_peer(this->socket))
+        {
+            this->close();
+            return;
+        }
         auto message = this->parser->release();
         this->begin_serving(message.keep_alive());
         http_request request;
--- a/src/libruntime/node/socket_options.cpp
+++ b/src/libruntime/node/socket_options.cpp
@@ -2,6 +2,8 @@
 
 #include "logging.hpp"
 
+#include <cerrno>
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -40,6 +42,15 @@
     set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
 }
 
+bool closed_by_peer(boost::asio::ip::tcp::socket& socket)
+{
+    char byte = 0;
+    const ssize_t size = ::recv(socket.native_handle(), &byte, sizeof(byte),
+                                MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
+                         errno != EINTR);
+}
+
 bool open_acceptor(boost::asio::ip::tcp::acceptor& acceptor,
                    const std::string& address, std::uint16_t port, int backlog)
 {
--- a/src/libruntime/node/socket_options.hpp
+++ b/src/libruntime/node/socket_options.hpp
@@ -13,6 +13,10 @@
 /// time-outs detect it.
 void set_socket_options(boost::asio::ip::tcp::socket& socket);
 
+/// Returns whether the peer has closed or reset the connection, with no unread
+/// bytes before the end.
+[[nodiscard]] bool closed_by_peer(boost::asio::ip::tcp::socket& socket);
+
 /// Listens on a numeric address. Returns false and logs the reason if that
 /// fails.
 /// \param backlog maximum number of connections that wait to be accepted.
--- a/tests/unit/dispatch/http_server_test.cpp
+++ b/tests/unit/dispatch/http_server_test.cpp
@@ -110,6 +110,19 @@
 
 BOOST_FIXTURE_TEST_SUITE(http_server_suite, http_server_fixture)
 
+// Guards against starting a job whose caller has left, and may have sent it
+// again to another instance, before its request was read.
+BOOST_AUTO_TEST_CASE(request_caller_left_before_it_was_read_not_served)
+{
+    const int caller = this->dial();
+    this->send(caller, "POST /a HTTP/1.1\r\nHost: h\r\n"
+                       "Content-Length: 3\r\n\r\nabc");
+    BOOST_REQUIRE(::shutdown(caller, SHUT_WR) == 0);
+    this->read(caller, "");
+    BOOST_TEST(this->closed);
+    BOOST_TEST(this->served == 0);
+}
+
 BOOST_AUTO_TEST_CASE(request_in_pieces_is_answered_once)
 {
     const int caller = this->dial();
