Hand jobs back that a stopping holder can no longer run

Change: while it stops, a holder ends waiting jobs that none of its remaining servers can take with the outcome handed_back: some tasks may have run, but nothing runs any more.

Ruled out: a refusal, since runs of the job may have been noted by callers as started.

--- a/src/libjujubedrum/dispatch/job_request.cpp
+++ b/src/libjujubedrum/dispatch/job_request.cpp
@@ -13,6 +13,8 @@
         return "failed";
     case job_outcome::refused:
         return "refused";
+    case job_outcome::handed_back:
+        return "handed back";
     case job_outcome::incomplete:
         return "incomplete";
     }
--- a/src/libjujubedrum/dispatch/job_request.hpp
+++ b/src/libjujubedrum/dispatch/job_request.hpp
@@ -65,6 +65,9 @@
     failed,     ///< a task failed as often as the route allows
     refused,    ///< no task has run
     incomplete, ///< ended early; some tasks may have run
+    /// Some tasks may have run, but none runs any more or can appear, so that
+    /// another holder may start the job. Reported between instances only.
+    handed_back,
 };
 
 /// Returns the name of the outcome, for logs and metrics.
--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -738,6 +738,24 @@
     }
 }
 
+void pool_dispatcher::hand_back_unservable(instant now)
+{
+    std::vector<pooled_job*> unservable;
+    for (const auto& [key, job] : this->queue)
+    {
+        if (job->on_servers == 0 && !this->has_suitable_servers(*job, now))
+        {
+            unservable.push_back(job);
+        }
+    }
+    for (pooled_job* job : unservable)
+    {
+        this->finish(*job, job_outcome::handed_back,
+                     "no server left at the stopping holder", milliseconds(0),
+                     now);
+    }
+}
+
 bool pool_dispatcher::is_open(const std::string& job) const
 {
     const auto at = this->jobs.find(job);
--- a/src/libjujubedrum/dispatch/pool_dispatcher.hpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.hpp
@@ -104,6 +104,10 @@
     /// Starts waiting tasks that fit, refuses jobs that can no longer meet
     /// their objective, ends those past their deadline and stops overdue runs.
     void pump(instant now);
+    /// Ends waiting jobs that none of the remaining servers can take, so that
+    /// another holder may start them. A holder calls it while it stops: its
+    /// servers only become fewer.
+    void hand_back_unservable(instant now);
     /// Returns whether a caller waits for the job.
     [[nodiscard]] bool is_open(const std::string& job) const;
     /// Returns whether the job is open or its runs are still being stopped.
--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -295,6 +295,7 @@
     if (this->draining)
     {
         this->pools.release_idle_servers();
+        this->dispatcher.hand_back_unservable(event_loop::now());
     }
     this->loop.after(pump_interval, [this] { this->on_pump_timer(); });
 }
--- a/src/libruntime/node/job_router.cpp
+++ b/src/libruntime/node/job_router.cpp
@@ -87,7 +87,13 @@
     {
         return;
     }
-    if (ended.result.outcome == job_outcome::refused &&
+    const bool handed_back = ended.result.outcome == job_outcome::handed_back;
+    if (handed_back)
+    {
+        at->second.may_have_run = true;
+        at->second.required_holder.clear();
+    }
+    if ((handed_back || ended.result.outcome == job_outcome::refused) &&
         at->second.tried_holders.size() < max_holders_tried &&
         this->peers.size() + 1 > at->second.tried_holders.size())
     {
@@ -336,7 +342,8 @@
         return;
     }
     job_result result = reported;
-    if (result.outcome == job_outcome::refused && at->second.may_have_run)
+    if (result.outcome == job_outcome::handed_back ||
+        (result.outcome == job_outcome::refused && at->second.may_have_run))
     {
         // An earlier holder may have run the job, so the refusal by a later one
         // does not mean that it has not run.
--- a/src/libruntime/node/job_router.hpp
+++ b/src/libruntime/node/job_router.hpp
@@ -82,7 +82,8 @@
         bool local = false;
         std::set<std::string> tried_holders; ///< holders that it was sent to
         std::string required_holder; ///< the only one allowed; empty: any
-        bool may_have_run = false;   ///< a holder disconnected with it
+        /// A holder disconnected with it, or handed it back.
+        bool may_have_run = false;
     };
     /// A holder whose link closed, and the open jobs that were sent to it.
     struct disconnected_holder
--- a/src/libruntime/node/peer_message.cpp
+++ b/src/libruntime/node/peer_message.cpp
@@ -156,7 +156,9 @@
 {
     result_message out;
     out.ticket = in.getTicket();
-    out.result.outcome = in.getOutcome() <= 3
+    constexpr auto last_outcome =
+        static_cast<std::uint16_t>(job_outcome::handed_back);
+    out.result.outcome = in.getOutcome() <= last_outcome
                              ? static_cast<job_outcome>(in.getOutcome())
                              : job_outcome::incomplete;
     out.result.reason = in.getReason();
