Choose holders by their network link as well

The number of holders knew servers only.

Change: settings, announcements and heartbeats carry the rate of the link; an instance can hold as many servers as half of its link bears (20 kB/s a server, at most 40). Candidates are ordered by that, then by processor. At 19 Mbit/s and more nothing changes.

Test: pools_narrow_links_*, pools_no_holder_narrow_link_*. Ruled out: processor (0.015 core of 0.12) and room of the servers.

--- a/src/libjujubedrum/dispatch/pool_election.cpp
+++ b/src/libjujubedrum/dispatch/pool_election.cpp
@@ -16,11 +16,25 @@
 /// Bounds the wait for announced instances that cannot be linked.
 constexpr milliseconds max_startup_delay{500};
 
+/// What a held server costs on the link of its holder: 10 starts a second of
+/// 1.5 kB and 10 polls of 0.5 kB, with all headers.
+constexpr std::size_t link_bytes_per_server = 20000;
+/// Share of the link that the servers may use. The rest carries callers, other
+/// instances and bursts.
+constexpr double server_link_share = 0.5;
+constexpr double bytes_per_kbit = 125;
+
 /// Returns whether `a` comes before `b` among the candidates for a pool: the
 /// larger machine first.
 template <typename Instance>
 bool precedes(const Instance& a, const Instance& b)
 {
+    const std::size_t capacity_a = server_capacity(a.link_kbps);
+    const std::size_t capacity_b = server_capacity(b.link_kbps);
+    if (capacity_a != capacity_b)
+    {
+        return capacity_a > capacity_b;
+    }
     return a.cpu != b.cpu ? a.cpu > b.cpu : a.name < b.name;
 }
 
@@ -56,18 +70,34 @@
 /// Returns the position, among the candidates for the pool, of the instance
 /// that should take it.
 std::size_t preferred_position(const pool_id& pool, std::size_t servers,
-                               std::size_t instances)
+                               const std::vector<const instance_view*>& order)
 {
-    const std::size_t wanted =
-        (servers + servers_per_holder - 1) / servers_per_holder;
-    const std::size_t holders = std::clamp<std::size_t>(
-        wanted, 1, std::min<std::size_t>(instances, pools_per_domain));
+    const std::size_t max_holders =
+        std::min<std::size_t>(order.size(), pools_per_domain);
+    std::size_t holders = 1;
+    std::size_t capacity = server_capacity(order.front()->link_kbps);
+    while (holders < max_holders && capacity < servers)
+    {
+        capacity += server_capacity(order[holders]->link_kbps);
+        ++holders;
+    }
     return pool.shard % holders;
 }
 
 } // namespace
 
 bool pool_election::may_take_pools(const startup_state& start)
+std::size_t server_capacity(std::uint32_t link_kbps)
+{
+    if (link_kbps == 0)
+    {
+        return max_servers_per_holder;
+    }
+    const auto by_link = static_cast<std::size_t>(
+        link_kbps * bytes_per_kbit * server_link_share / link_bytes_per_server);
+    return std::clamp<std::size_t>(by_link, 1, max_servers_per_holder);
+}
+
 {
     if (start.age >= max_startup_delay)
     {
@@ -159,8 +189,7 @@
             const pool_id pool{domain, shard};
             const bool held =
                 holds(self, pool) || held_by_other(self, live, pool);
-            if (!held &&
-                order[preferred_position(pool, count, order.size())] == &self)
+            if (!held && order[preferred_position(pool, count, order)] == &self)
             {
                 result.push_back(pool);
             }
@@ -168,6 +197,32 @@
     }
     return result;
 }
+}
+
+std::vector<pool_id> pool_election::pools_to_hand_over(
+    const instance_view& self, const std::vector<instance_view>& live,
+    const std::map<std::string, std::size_t>& servers)
+{
+    std::vector<pool_id> result;
+    const auto count = servers.find(self.domain);
+    const auto order = candidates(self, live, self.domain);
+    if (count == servers.end() || order.empty())
+    {
+        return result;
+    }
+    for (const pool_hold& own : self.holds)
+    {
+        const instance_view* preferred =
+            own.pool.domain == self.domain
+                ? order[preferred_position(own.pool, count->second, order)]
+                : &self;
+        if (preferred != &self &&
+            preferred->holds.size() + 2 <= self.holds.size())
+        {
+            result.push_back(own.pool);
+        }
+    }
+    return result;
 
 std::vector<pool_id>
 pool_election::pools_to_give_up(const instance_view& self,
--- a/src/libjujubedrum/dispatch/pool_election.hpp
+++ b/src/libjujubedrum/dispatch/pool_election.hpp
@@ -28,7 +28,8 @@
 
 /// Backend servers that one instance holds before the next one takes a share:
 /// about 400 starts a second at 10 a server, which use a tenth of a core.
-constexpr std::size_t servers_per_holder = 40;
+/// Instances with a narrow network link hold fewer.
+constexpr std::size_t max_servers_per_holder = 40;
 
 /// Instances of a failure domain that watch the list of backend servers: all
 /// that may hold pools, and two that may succeed them.
@@ -59,6 +60,7 @@
     /// Servers on which it may have runs and that other instances may not know,
     /// since they have no entry or a new one.
     std::vector<std::string> unlisted_servers = {};
+    std::uint32_t link_kbps = 0; ///< rate of its network link; 0: not limited
 
     bool operator==(const instance_view&) const = default;
 };
@@ -67,9 +69,10 @@
 struct announced_instance
 {
     std::string name;
-    std::string domain;    ///< empty if not announced
-    std::uint32_t cpu = 0; ///< thousandths of a core
-    bool linked = false;   ///< a link to it is open
+    std::string domain;          ///< empty if not announced
+    std::uint32_t cpu = 0;       ///< thousandths of a core
+    bool linked = false;         ///< a link to it is open
+    std::uint32_t link_kbps = 0; ///< rate of its network link; 0: not limited
 
     bool operator==(const announced_instance&) const = default;
 };
@@ -85,6 +88,11 @@
     bool operator==(const startup_state&) const = default;
 };
 
+/// Returns how many backend servers an instance can hold before its network
+/// link limits the starts on them.
+/// \param link_kbps rate of the link in kbit/s; 0 if it is not limited.
+[[nodiscard]] std::size_t server_capacity(std::uint32_t link_kbps);
+
 /// Decides which pools an instance takes or gives up, from the heartbeats of
 /// the others. Instances that decide differently do no harm: the servers obey
 /// the holder with the highest fencing token.
--- a/src/libruntime/node/dispatch.capnp
+++ b/src/libruntime/node/dispatch.capnp
@@ -22,6 +22,15 @@
   load @6 :Load;
   intervalMs @7 :UInt32;
   unlistedServers @8 :List(Text);
+  linkKbps @9 :UInt32;
+  acceptsAlive @10 :Bool;
+}
+
+# A heartbeat of an instance whose Hello is still valid but for these fields.
+# Sent only to peers that accept it.
+struct Alive {
+  load @0 :Load;
+  intervalMs @1 :UInt32;
 }
 
 struct Load {
@@ -82,5 +91,6 @@
     result @2 :Result;
     cancel @3 :Cancel;
     release @4 :Release;
+    alive @5 :Alive;
   }
 }
--- a/src/libruntime/node/dispatch.capnp.h
+++ b/src/libruntime/node/dispatch.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(ac8a33bb67df5bc5);
 CAPNP_DECLARE_SCHEMA(c4b0bf11dac93599);
+CAPNP_DECLARE_SCHEMA(f79c380a18544d6f);
 CAPNP_DECLARE_SCHEMA(a3b28f1318961780);
 CAPNP_DECLARE_SCHEMA(d8f087b2bcea523b);
 CAPNP_DECLARE_SCHEMA(d91878d08c42f92e);
@@ -62,6 +63,21 @@
   };
 };
 
+struct Alive {
+  Alive() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f79c380a18544d6f, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Load {
   Load() = delete;
 
@@ -164,6 +180,7 @@
     RESULT,
     CANCEL,
     RELEASE,
+    ALIVE,
   };
 
   struct _capnpPrivate {
@@ -312,6 +329,10 @@
   inline bool hasUnlistedServers() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getUnlistedServers() const;
 
+  inline  ::uint32_t getLinkKbps() const;
+
+  inline bool getAcceptsAlive() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -388,6 +409,12 @@
   inline void adoptUnlistedServers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownUnlistedServers();
 
+  inline  ::uint32_t getLinkKbps();
+  inline void setLinkKbps( ::uint32_t value);
+
+  inline bool getAcceptsAlive();
+  inline void setAcceptsAlive(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -415,6 +442,93 @@
 };
 #endif  // !CAPNP_LITE
 
+class Alive::Reader {
+public:
+  typedef Alive Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasLoad() const;
+  inline  ::jujubedrum::dispatch_wire::Load::Reader getLoad() const;
+
+  inline  ::uint32_t getIntervalMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Alive::Builder {
+public:
+  typedef Alive Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasLoad();
+  inline  ::jujubedrum::dispatch_wire::Load::Builder getLoad();
+  inline void setLoad( ::jujubedrum::dispatch_wire::Load::Reader value);
+  inline  ::jujubedrum::dispatch_wire::Load::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::jujubedrum::dispatch_wire::Load>&& value);
+  inline ::capnp::Orphan< ::jujubedrum::dispatch_wire::Load> disownLoad();
+
+  inline  ::uint32_t getIntervalMs();
+  inline void setIntervalMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Alive::Pipeline {
+public:
+  typedef Alive Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::jujubedrum::dispatch_wire::Load::Pipeline getLoad();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Load::Reader {
 public:
   typedef Load Reads;
@@ -1107,6 +1221,10 @@
   inline bool hasRelease() const;
   inline  ::jujubedrum::dispatch_wire::Release::Reader getRelease() const;
 
+  inline bool isAlive() const;
+  inline bool hasAlive() const;
+  inline  ::jujubedrum::dispatch_wire::Alive::Reader getAlive() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1176,6 +1294,14 @@
   inline void adoptRelease(::capnp::Orphan< ::jujubedrum::dispatch_wire::Release>&& value);
   inline ::capnp::Orphan< ::jujubedrum::dispatch_wire::Release> disownRelease();
 
+  inline bool isAlive();
+  inline bool hasAlive();
+  inline  ::jujubedrum::dispatch_wire::Alive::Builder getAlive();
+  inline void setAlive( ::jujubedrum::dispatch_wire::Alive::Reader value);
+  inline  ::jujubedrum::dispatch_wire::Alive::Builder initAlive();
+  inline void adoptAlive(::capnp::Orphan< ::jujubedrum::dispatch_wire::Alive>&& value);
+  inline ::capnp::Orphan< ::jujubedrum::dispatch_wire::Alive> disownAlive();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1515,6 +1641,87 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Hello::Reader::getLinkKbps() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Hello::Builder::getLinkKbps() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setLinkKbps( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Hello::Reader::getAcceptsAlive() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+
+inline bool Hello::Builder::getAcceptsAlive() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setAcceptsAlive(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Alive::Reader::hasLoad() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Alive::Builder::hasLoad() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::jujubedrum::dispatch_wire::Load::Reader Alive::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Load>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::jujubedrum::dispatch_wire::Load::Builder Alive::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Load>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::jujubedrum::dispatch_wire::Load::Pipeline Alive::Pipeline::getLoad() {
+  return  ::jujubedrum::dispatch_wire::Load::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Alive::Builder::setLoad( ::jujubedrum::dispatch_wire::Load::Reader value) {
+  ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Load>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::jujubedrum::dispatch_wire::Load::Builder Alive::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Load>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Alive::Builder::adoptLoad(
+    ::capnp::Orphan< ::jujubedrum::dispatch_wire::Load>&& value) {
+  ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Load>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::jujubedrum::dispatch_wire::Load> Alive::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Load>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Alive::Reader::getIntervalMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Alive::Builder::getIntervalMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Alive::Builder::setIntervalMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Load::Reader::getTotalCpu() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2509,6 +2716,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isAlive() const {
+  return which() == Message::ALIVE;
+}
+inline bool Message::Builder::isAlive() {
+  return which() == Message::ALIVE;
+}
+inline bool Message::Reader::hasAlive() const {
+  if (which() != Message::ALIVE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasAlive() {
+  if (which() != Message::ALIVE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::jujubedrum::dispatch_wire::Alive::Reader Message::Reader::getAlive() const {
+  KJ_IREQUIRE((which() == Message::ALIVE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Alive>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::jujubedrum::dispatch_wire::Alive::Builder Message::Builder::getAlive() {
+  KJ_IREQUIRE((which() == Message::ALIVE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Alive>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setAlive( ::jujubedrum::dispatch_wire::Alive::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ALIVE);
+  ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Alive>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::jujubedrum::dispatch_wire::Alive::Builder Message::Builder::initAlive() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ALIVE);
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Alive>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptAlive(
+    ::capnp::Orphan< ::jujubedrum::dispatch_wire::Alive>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ALIVE);
+  ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Alive>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::jujubedrum::dispatch_wire::Alive> Message::Builder::disownAlive() {
+  KJ_IREQUIRE((which() == Message::ALIVE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Alive>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -50,7 +50,7 @@
     , mesh(events,
            {values.instance(), values.announced_peers().address,
             values.announced_peers().port, own_boot, values.domain(),
-            values.cpu()},
+            values.cpu(), values.link_kbps()},
            *this)
     , router(this->settings, this->table, this->peers, this->mesh,
              this->dispatcher, registry, this->counts)
@@ -82,7 +82,8 @@
     this->store.announce({this->settings.instance(),
                           this->settings.announced_peers().address,
                           this->settings.announced_peers().port, this->boot,
-                          this->settings.domain(), this->settings.cpu()});
+                          this->settings.domain(), this->settings.cpu(),
+                          this->settings.link_kbps()});
     this->loop.after(announce_interval, [this] { this->announce_self(); });
 }
 
@@ -294,8 +295,8 @@
     this->router.tick(this->pools.self_view());
     if (this->draining)
     {
-        this->pools.release_idle_servers();
         this->dispatcher.hand_back_unservable(event_loop::now());
+        this->pools.release_idle_servers();
     }
     this->loop.after(pump_interval, [this] { this->on_pump_timer(); });
 }
--- a/src/libruntime/node/node_settings.cpp
+++ b/src/libruntime/node/node_settings.cpp
@@ -29,6 +29,7 @@
     "announced_peers": {"type": "string"},
     "store": {"type": "string"},
     "cpu_share": {"type": "number", "minimum": 0.001, "maximum": 1024},
+    "link_mbps": {"type": "number", "minimum": 0, "maximum": 4000000},
     "longest_lease_ms": {"type": "number", "minimum": 100, "maximum": 600000},
     "grace_s": {"type": "number", "minimum": 0.1, "maximum": 3600},
     "far_factor": {"type": "number", "minimum": 1, "maximum": 100},
@@ -118,8 +119,11 @@
         return std::nullopt;
     }
     constexpr double per_core = 1000;
+    constexpr double kbit_per_mbit = 1000;
     loaded.cpu_value =
         static_cast<std::uint32_t>(object->value("cpu_share", 1.0) * per_core);
+    loaded.link_kbps_value = static_cast<std::uint32_t>(
+        object->value("link_mbps", 0.0) * kbit_per_mbit);
     loaded.max_lease_value =
         read_duration(*object, "longest_lease_ms", 1, loaded.max_lease_value);
     loaded.stop_grace_period_value =
--- a/src/libruntime/node/node_settings.hpp
+++ b/src/libruntime/node/node_settings.hpp
@@ -65,6 +65,12 @@
     [[nodiscard]] const endpoint& store() const { return this->store_value; }
     /// Returns the CPU share of this instance in thousandths of a core.
     [[nodiscard]] std::uint32_t cpu() const { return this->cpu_value; }
+    /// Returns the rate of this instance's network link in kbit/s, in each
+    /// direction; 0 if it is not limited.
+    [[nodiscard]] std::uint32_t link_kbps() const
+    {
+        return this->link_kbps_value;
+    }
     /// Returns the maximum lease on runs on a backend server.
     [[nodiscard]] milliseconds max_lease() const
     {
@@ -106,6 +112,7 @@
     endpoint announced_peers_value;
     endpoint store_value;
     std::uint32_t cpu_value = 1000;
+    std::uint32_t link_kbps_value = 0;
     milliseconds max_lease_value{1000};
     milliseconds stop_grace_period_value{6000};
     double far_factor_value = 1.5;
--- a/src/libruntime/node/peer_mesh.cpp
+++ b/src/libruntime/node/peer_mesh.cpp
@@ -639,7 +639,7 @@
     for (const auto& [name, member] : this->members)
     {
         result.push_back({name, member.record.domain, member.record.cpu,
-                          this->linked(name)});
+                          this->linked(name), member.record.link_kbps});
     }
     return result;
 }
--- a/src/libruntime/node/peer_mesh.hpp
+++ b/src/libruntime/node/peer_mesh.hpp
@@ -24,8 +24,9 @@
     std::string address; ///< numeric IP address
     std::uint16_t port = 0;
     std::uint64_t boot = 0;
-    std::string domain;    ///< empty in announcements of earlier versions
-    std::uint32_t cpu = 0; ///< thousandths of a core
+    std::string domain;          ///< empty in announcements of earlier versions
+    std::uint32_t cpu = 0;       ///< thousandths of a core
+    std::uint32_t link_kbps = 0; ///< rate of its network link; 0: not limited
 
     bool operator==(const member_record&) const = default;
 };
--- a/src/libruntime/node/peer_message.cpp
+++ b/src/libruntime/node/peer_message.cpp
@@ -38,6 +38,7 @@
     out.setBoot(in.instance.boot);
     out.setDomain(in.instance.domain);
     out.setCpu(in.instance.cpu);
+    out.setLinkKbps(in.instance.link_kbps);
     out.setDraining(in.instance.draining);
     auto pools = out.initPools(static_cast<unsigned>(in.instance.holds.size()));
     for (unsigned i = 0; i < pools.size(); ++i)
@@ -55,6 +56,7 @@
     }
     put_load(out.initLoad(), in.load);
     out.setIntervalMs(static_cast<std::uint32_t>(in.interval.count()));
+    out.setAcceptsAlive(in.accepts_alive);
 }
 
 heartbeat_message get_heartbeat(Hello::Reader in)
@@ -64,6 +66,7 @@
     out.instance.boot = in.getBoot();
     out.instance.domain = in.getDomain();
     out.instance.cpu = in.getCpu();
+    out.instance.link_kbps = in.getLinkKbps();
     out.instance.draining = in.getDraining();
     for (const auto hold : in.getPools())
     {
@@ -77,6 +80,7 @@
     }
     out.load = get_load(in.getLoad());
     out.interval = milliseconds(in.getIntervalMs());
+    out.accepts_alive = in.getAcceptsAlive();
     return out;
 }
 
@@ -196,6 +200,12 @@
         cancel.setReason(in.reason);
         cancel.setTicket(in.ticket);
     }
+    void operator()(const alive_message& in)
+    {
+        auto alive = this->out.initAlive();
+        put_load(alive.initLoad(), in.load);
+        alive.setIntervalMs(static_cast<std::uint32_t>(in.interval.count()));
+    }
     void operator()(const release_message& in)
     {
         auto servers = this->out.initRelease().initServers(
@@ -221,6 +231,9 @@
         return cancel_message{in.getCancel().getId(),
                               in.getCancel().getReason(),
                               in.getCancel().getTicket()};
+    case Message::ALIVE:
+        return alive_message{get_load(in.getAlive().getLoad()),
+                             milliseconds(in.getAlive().getIntervalMs())};
     case Message::RELEASE:
     {
         release_message out;
--- a/src/libruntime/node/peer_message.hpp
+++ b/src/libruntime/node/peer_message.hpp
@@ -19,10 +19,20 @@
 {
     instance_view instance;
     dispatch_load load;
-    milliseconds interval{0}; ///< until the next heartbeat over this link
+    milliseconds interval{0};  ///< until the next heartbeat over this link
+    bool accepts_alive = true; ///< the sender decodes `alive_message`
     bool operator==(const heartbeat_message&) const = default;
 };
 
+/// Heartbeat that repeats the instance view of the last `heartbeat_message`
+/// over the link, with less than a third of its bytes.
+struct alive_message
+{
+    dispatch_load load;
+    milliseconds interval{0}; ///< until the next heartbeat over this link
+    bool operator==(const alive_message&) const = default;
+};
+
 struct submit_message
 {
     std::uint64_t ticket = 0;
@@ -60,7 +70,7 @@
 
 using dispatch_message =
     std::variant<heartbeat_message, submit_message, result_message,
-                 cancel_message, release_message>;
+                 cancel_message, release_message, alive_message>;
 
 /// Returns the encoded message, preceded by its length in four bytes, least
 /// significant first.
--- a/src/libruntime/node/pool_manager.cpp
+++ b/src/libruntime/node/pool_manager.cpp
@@ -204,6 +204,7 @@
     view.draining = this->draining;
     for (const auto& [pool, hold] : this->held)
     {
+    view.link_kbps = this->settings.link_kbps();
         view.holds.push_back({pool, hold.token, this->is_clean(pool)});
     }
     for (const auto& [id, session] : this->sessions)
--- a/tests/unit/dispatch/pool_election_test.cpp
+++ b/tests/unit/dispatch/pool_election_test.cpp
@@ -102,6 +102,74 @@
         !pool_election::pools_to_take(large, {small}, one_domain).empty());
 }
 
+// Guards against one holder on a link of 2 Mbit/s for 24 servers: its link was
+// full and its servers counted as unreachable (small twins of ssw-rake-large,
+// 2026-12-05).
+BOOST_AUTO_TEST_CASE(pools_narrow_links_shared_among_more_instances)
+{
+    std::vector<instance_view> all;
+    for (const char* name : {"a", "b", "c", "d"})
+    {
+        all.push_back(make_instance(name, "d1"));
+        all.back().link_kbps = 2000;
+    }
+    const std::map<std::string, std::size_t> servers{{"d1", 24}};
+    for (std::size_t i = 0; i < all.size(); ++i)
+    {
+        std::vector<instance_view> live = all;
+        live.erase(live.begin() + static_cast<std::ptrdiff_t>(i));
+        BOOST_TEST(pool_election::pools_to_take(all[i], live, servers).size() ==
+                   1U);
+    }
+}
+
+// A wide link does not make a small machine the first candidate, but a narrow
+// one disqualifies a large machine.
+BOOST_AUTO_TEST_CASE(pools_no_holder_narrow_link_comes_after_wide_one)
+{
+    auto narrow = make_instance("a", "d1", 500);
+    narrow.link_kbps = 2000;
+    auto wide = make_instance("b", "d1", 90);
+    wide.link_kbps = 200000;
+    BOOST_TEST(
+        pool_election::pools_to_take(wide, {narrow}, one_domain).size() ==
+        pools_per_domain);
+    BOOST_TEST(
+        pool_election::pools_to_take(narrow, {wide}, one_domain).empty());
+}
+
+// Guards against a holder that keeps all pools of a domain: its servers
+// registered one after the other, and the first few fitted one holder.
+BOOST_AUTO_TEST_CASE(pools_all_at_one_holder_are_handed_over)
+{
+    auto a = make_instance("a", "d1");
+    const auto b = make_instance("b", "d1");
+    for (std::uint32_t shard = 0; shard < pools_per_domain; ++shard)
+    {
+        a.holds.push_back({{"d1", shard}, 7, true});
+    }
+    const std::map<std::string, std::size_t> few{{"d1", 16}};
+    const std::map<std::string, std::size_t> many{{"d1", 80}};
+    BOOST_TEST(pool_election::pools_to_hand_over(a, {b}, few).empty());
+    BOOST_TEST(pool_election::pools_to_hand_over(a, {}, many).empty());
+    const std::vector<pool_id> surplus =
+        pool_election::pools_to_hand_over(a, {b}, many);
+    BOOST_TEST(surplus.size() == 2U);
+    BOOST_CHECK(surplus.front() == (pool_id{"d1", 1}));
+}
+
+// A pool must not move back and forth.
+BOOST_AUTO_TEST_CASE(pools_shared_evenly_are_not_handed_over)
+{
+    auto a = make_instance("a", "d1");
+    auto b = make_instance("b", "d1");
+    a.holds = {{{"d1", 0}, 7, true}, {{"d1", 1}, 7, true}};
+    b.holds = {{{"d1", 2}, 7, true}};
+    const std::map<std::string, std::size_t> many{{"d1", 80}};
+    BOOST_TEST(pool_election::pools_to_hand_over(a, {b}, many).empty());
+    BOOST_TEST(pool_election::pools_to_hand_over(b, {a}, many).empty());
+}
+
 BOOST_AUTO_TEST_CASE(pools_many_servers_shared_among_instances)
 {
     const auto a = make_instance("a", "d1");
