Hand idle pools over to the instances that should hold them

Cause: at a first start the servers register one after the other.

Change: a holder gives up a pool on whose servers nothing runs, if another instance of the domain should hold it and holds at least two fewer; one in 500 ms. The successor takes it as after any loss.

Ruled out: moving pools with runs, whose jobs would be cut off.

--- a/src/libjujubedrum/dispatch/pool_election.cpp
+++ b/src/libjujubedrum/dispatch/pool_election.cpp
@@ -25,7 +25,7 @@
 constexpr double bytes_per_kbit = 125;
 
 /// Returns whether `a` comes before `b` among the candidates for a pool: the
-/// larger machine first.
+/// one that can hold more servers, then the larger machine.
 template <typename Instance>
 bool precedes(const Instance& a, const Instance& b)
 {
@@ -68,7 +68,8 @@
 }
 
 /// Returns the position, among the candidates for the pool, of the instance
-/// that should take it.
+/// that should take it: as many of the first ones hold pools as are needed for
+/// the servers of the domain.
 std::size_t preferred_position(const pool_id& pool, std::size_t servers,
                                const std::vector<const instance_view*>& order)
 {
@@ -86,7 +87,6 @@
 
 } // namespace
 
-bool pool_election::may_take_pools(const startup_state& start)
 std::size_t server_capacity(std::uint32_t link_kbps)
 {
     if (link_kbps == 0)
@@ -98,6 +98,7 @@
     return std::clamp<std::size_t>(by_link, 1, max_servers_per_holder);
 }
 
+bool pool_election::may_take_pools(const startup_state& start)
 {
     if (start.age >= max_startup_delay)
     {
@@ -197,7 +198,6 @@
     }
     return result;
 }
-}
 
 std::vector<pool_id> pool_election::pools_to_hand_over(
     const instance_view& self, const std::vector<instance_view>& live,
@@ -223,6 +223,7 @@
         }
     }
     return result;
+}
 
 std::vector<pool_id>
 pool_election::pools_to_give_up(const instance_view& self,
--- a/src/libjujubedrum/dispatch/pool_election.hpp
+++ b/src/libjujubedrum/dispatch/pool_election.hpp
@@ -120,6 +120,15 @@
                   const std::vector<instance_view>& live,
                   const std::map<std::string, std::size_t>& servers);
 
+    /// Returns the pools that `self` should leave to another instance of the
+    /// failure domain, because that one precedes it as the holder and holds at
+    /// least two pools fewer, so that no pool moves back. Servers that register
+    /// one after the other make the first holder take all pools.
+    [[nodiscard]] static std::vector<pool_id>
+    pools_to_hand_over(const instance_view& self,
+                       const std::vector<instance_view>& live,
+                       const std::map<std::string, std::size_t>& servers);
+
     /// Returns whether `self` holds pools or may hold some soon, and so has to
     /// watch the list of servers.
     [[nodiscard]] static bool
--- a/src/libruntime/node/pool_manager.cpp
+++ b/src/libruntime/node/pool_manager.cpp
@@ -31,6 +31,9 @@
 /// servers before it knows whether it is a candidate for pools. In a larger
 /// system all of them would read the list at the same time.
 constexpr std::size_t max_members_for_early_watch = 40;
+/// A pool that was handed over has a new holder, whose heartbeat shows it,
+/// within this time.
+constexpr milliseconds min_hand_over_interval{500};
 /// Time reserved for answers in transit at the end of a planned stop.
 constexpr milliseconds release_margin{800};
 
@@ -201,10 +204,10 @@
     view.boot = this->boot;
     view.domain = this->settings.domain();
     view.cpu = this->settings.cpu();
+    view.link_kbps = this->settings.link_kbps();
     view.draining = this->draining;
     for (const auto& [pool, hold] : this->held)
     {
-    view.link_kbps = this->settings.link_kbps();
         view.holds.push_back({pool, hold.token, this->is_clean(pool)});
     }
     for (const auto& [id, session] : this->sessions)
@@ -459,6 +462,8 @@
         }
     }
     const auto counts = this->claimable_servers();
+    this->hand_over_idle_pool(
+        pool_election::pools_to_hand_over(this->self_view(), live, counts));
     for (const pool_id& pool : pool_election::pools_to_take(self, live, counts))
     {
         const auto blocked = this->claim_not_before.find(pool);
@@ -470,6 +475,36 @@
     }
 }
 
+void pool_manager::hand_over_idle_pool(const std::vector<pool_id>& surplus)
+{
+    // One at a time, since the heartbeats that decide on the next one have to
+    // show the new holder.
+    if (event_loop::now() - this->last_hand_over < min_hand_over_interval)
+    {
+        return;
+    }
+    const auto idle =
+        std::find_if(surplus.begin(), surplus.end(),
+                     [this](const pool_id& pool)
+                     {
+                         return std::none_of(
+                             this->sessions.begin(), this->sessions.end(),
+                             [this, &pool](const auto& entry)
+                             {
+                                 const auto at =
+                                     this->servers.find(entry.first);
+                                 return at != this->servers.end() &&
+                                        pool_of(at->second.info) == pool &&
+                                        this->dispatcher.has_runs(entry.first);
+                             });
+                     });
+    if (idle != surplus.end())
+    {
+        this->last_hand_over = event_loop::now();
+        this->give_up(*idle, "another instance should hold it");
+    }
+}
+
 void pool_manager::claim(const pool_id& pool)
 {
     if (!this->claiming.insert(pool).second)
--- a/src/libruntime/node/pool_manager.hpp
+++ b/src/libruntime/node/pool_manager.hpp
@@ -152,6 +152,9 @@
     /// Returns whether all servers of the pool were taken over, so that no run
     /// of an earlier holder remains on them.
     [[nodiscard]] bool is_clean(const pool_id& pool) const;
+    /// Gives up one of these pools if nothing runs on its servers, so that the
+    /// instance that should hold it takes it.
+    void hand_over_idle_pool(const std::vector<pool_id>& surplus);
     void claim(const pool_id& pool);
     /// Takes a claimed pool unless another instance has taken it meanwhile.
     /// \param fence number from the store; empty: it did not answer.
@@ -199,6 +202,7 @@
     bool members_read = false;
     bool claims_enabled = false; ///< result of `ready_to_claim`, once true
     instant started;
+    instant last_hand_over{0};
 };
 
 } // namespace jujubedrum
