--- a/src/libruntime/node/http_client.cpp
+++ b/src/libruntime/node/http_client.cpp
@@ -63,7 +63,7 @@
                                         if (const auto held = self.lock())
                                         {
                                             held->timer.reset();
-                                            held->fail("timeout");
+                                            held->on_timeout();
                                         }
                                     });
         if (this->socket.is_open())
@@ -117,22 +117,25 @@
             this->owner->loop.cancel(*this->connect_timer);
             this->connect_timer.reset();
         }
-        if (!this->current)
-        {
-            return;
-        }
         if (failure)
         {
             this->fail(failure.message());
             return;
         }
         set_socket_options(this->socket);
-        this->send();
+        if (this->current)
+        {
+            this->send();
+            return;
+        }
+        this->on_late();
     }
 
     void send()
     {
         this->sent = true;
+        this->sent_at = event_loop::now();
+        this->sample = this->current->request.replied_at_once;
         this->out = serialize_request(this->current->request,
                                       this->current->request.host.empty()
                                           ? this->owner->address
@@ -157,10 +160,6 @@
 
     void on_reply(const boost::system::error_code& error)
     {
-        if (!this->current)
-        {
-            return;
-        }
         if (error)
         {
             this->fail(error.message());
@@ -168,6 +167,15 @@
         }
         this->cancel_timers();
         auto message = this->parser->release();
+        if (this->sample)
+        {
+            this->owner->round_trip.add(event_loop::now() - this->sent_at);
+        }
+        if (!this->current)
+        {
+            this->on_late(message.keep_alive());
+            return;
+        }
         http_reply reply{http_result::replied,
                          static_cast<int>(message.result_int()),
                          std::move(message.body()), ""};
@@ -182,18 +190,57 @@
         done(std::move(reply));
     }
 
-    /// Completes the call without a reply and closes the connection.
-    void fail(const std::string& why)
+    /// The handshake or the reply arrived after the call had timed out.
+    void on_late(bool keep = true)
+    {
+        this->cancel_timers();
+        if (!keep)
+        {
+            this->close_socket();
+        }
+        this->owner->release_connection(this->shared_from_this(), keep);
+    }
+
+    /// Completes the call without a reply and awaits the late reply.
+    void on_timeout()
     {
         if (!this->current)
         {
             return;
         }
         const callback done = std::move(this->current->done);
-        const http_result result =
-            this->sent ? http_result::no_reply : http_result::not_sent;
+        this->current.reset();
+        this->timer =
+            this->owner->loop.after(late_reply_timeout,
+                                    [self = this->weak_from_this()]
+                                    {
+                                        if (const auto held = self.lock())
+                                        {
+                                            held->timer.reset();
+                                            held->fail("no late reply");
+                                        }
+                                    });
+        this->owner->set_late(this->shared_from_this());
+        this->report(done, "timeout");
+    }
+
+    /// Closes the connection, and completes its call without a reply.
+    void fail(const std::string& why)
+    {
+        const callback done =
+            this->current ? std::move(this->current->done) : nullptr;
         this->close_socket();
         this->owner->release_connection(this->shared_from_this(), false);
+        if (done)
+        {
+            this->report(done, why);
+        }
+    }
+
+    void report(const callback& done, const std::string& why)
+    {
+        const http_result result =
+            this->sent ? http_result::no_reply : http_result::not_sent;
         asio::post(this->owner->loop.context(),
                    [client = this->owner, done, result, why]
                    {
@@ -223,6 +270,8 @@
     std::optional<pending_call> current;
     std::string out;
     bool sent = false;
+    bool sample = false; ///< of the round-trip time
+    instant sent_at{0};
     std::optional<event_loop::timer_id> timer;
     std::optional<event_loop::timer_id> connect_timer;
 };
@@ -281,6 +330,7 @@
                                      bool reusable)
 {
     std::erase(this->busy, conn);
+    std::erase(this->late, conn);
     if (reusable && !this->closed)
     {
         this->idle.push_back(conn);
@@ -288,11 +338,24 @@
     this->dispatch();
 }
 
+void http_client::set_late(const std::shared_ptr<connection>& conn)
+{
+    std::erase(this->busy, conn);
+    this->late.push_back(conn);
+    if (this->late.size() > max_late_connections)
+    {
+        const auto oldest = this->late.front();
+        this->late.erase(this->late.begin());
+        oldest->close_socket();
+    }
+    this->dispatch();
+}
+
 void http_client::close()
 {
     this->closed = true;
     this->waiting.clear();
-    for (auto* list : {&this->busy, &this->idle})
+    for (auto* list : {&this->busy, &this->idle, &this->late})
     {
         for (const auto& conn : *list)
         {
--- a/src/libruntime/node/http_client.hpp
+++ b/src/libruntime/node/http_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "dispatch/round_trip_estimator.hpp"
 #include "node/event_loop.hpp"
 
 #include <cstddef>
@@ -25,6 +26,9 @@
     std::string body;
     std::string content_type = "application/json";
     milliseconds timeout{1000}; ///< from the call to the end of the reply
+    /// The server replies at once, so that the time of its reply is a sample of
+    /// the round-trip time.
+    bool replied_at_once = false;
 };
 
 /// Whether a call got a reply and, if not, whether it was sent.
@@ -47,12 +51,21 @@
 /// and opens a further one, up to a maximum, only while all are in use. Calls
 /// beyond the maximum wait, which counts towards their time-out. It does not
 /// retry.
+///
+/// A connection whose call timed out stays open for a while. If the link is
+/// only full, its handshake or reply still arrives, and the connection serves
+/// later calls; a new one would add to the load.
 class http_client : public std::enable_shared_from_this<http_client>
 {
 public:
     using callback = std::function<void(http_reply)>;
 
     static constexpr milliseconds connect_timeout{400};
+    /// A reply that is later than this after its call timed out is not awaited.
+    static constexpr milliseconds late_reply_timeout{1000};
+    /// Connections that may wait for late replies; each is in addition to those
+    /// in use.
+    static constexpr std::size_t max_late_connections = 4;
 
     static std::shared_ptr<http_client> create(event_loop& loop,
                                                std::string address,
@@ -67,6 +80,11 @@
     {
         return this->opened;
     }
+    /// Returns the estimate from calls that were replied to at once.
+    [[nodiscard]] const round_trip_estimator& round_trips() const
+    {
+        return this->round_trip;
+    }
 
 private:
     class connection;
@@ -82,6 +100,8 @@
     void dispatch();
     void release_connection(const std::shared_ptr<connection>& conn,
                             bool reusable);
+    /// Keeps a connection whose call timed out until its late reply.
+    void set_late(const std::shared_ptr<connection>& conn);
 
     event_loop& loop;
     std::string address;
@@ -90,6 +110,8 @@
     std::deque<pending_call> waiting;
     std::vector<std::shared_ptr<connection>> idle;
     std::vector<std::shared_ptr<connection>> busy;
+    std::vector<std::shared_ptr<connection>> late; ///< oldest first
+    round_trip_estimator round_trip;
     std::uint64_t opened = 0;
     bool closed = false;
 };
