Refuse a waiting job at once when no server is usable

Cause: the estimated wait without usable servers was the largest duration; added to a time it overflowed to the past, so a job that waited while its holder lost all servers was held until its time limit.

Change: a bounded duration stands for an unknown wait, and the caller is told to come back after 100 ms, as at the admission of such a job.

Test: job_waiting_no_server_usable_refused_before_its_deadline failed before and passes. Jobs of which a task has started are not refused, as before.

--- a/src/libjujubedrum/dispatch/dispatch_load.cpp
+++ b/src/libjujubedrum/dispatch/dispatch_load.cpp
@@ -12,7 +12,7 @@
     }
     if (this->total_cpu == 0)
     {
-        return milliseconds::max();
+        return unknown_wait;
     }
     // Capacity becomes free at the rate of the total per mean run time.
     const double lacking = static_cast<double>(wanted - this->free_cpu);
--- a/src/libjujubedrum/dispatch/dispatch_load.hpp
+++ b/src/libjujubedrum/dispatch/dispatch_load.hpp
@@ -7,6 +7,10 @@
 namespace jujubedrum
 {
 
+/// Wait while no server is usable. Unlike the maximum of the type, it can be
+/// added to a time.
+constexpr milliseconds unknown_wait = max_duration;
+
 /// Capacity and queue of a dispatcher, from which peers choose a holder.
 struct dispatch_load
 {
@@ -18,7 +22,7 @@
     std::uint64_t servers = 0; ///< usable ones; known to the holder only
 
     /// Returns the estimated wait of a job with this demand, in thousandths of
-    /// a core; the maximum value if no server is usable.
+    /// a core; `unknown_wait` if no server is usable.
     [[nodiscard]] milliseconds estimated_wait(std::uint64_t cpu) const;
 
     bool operator==(const dispatch_load&) const = default;
--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -31,6 +31,15 @@
 constexpr milliseconds min_retry_after{100};
 constexpr milliseconds max_retry_after{3000};
 
+/// Returns when a caller may try again that was refused for this wait. Servers
+/// that are unusable for the moment may be back soon.
+milliseconds retry_after(milliseconds wait)
+{
+    return wait == unknown_wait
+               ? min_retry_after
+               : std::clamp(wait, min_retry_after, max_retry_after);
+}
+
 } // namespace
 
 pool_dispatcher::pool_dispatcher(const dispatch_options& settings,
@@ -151,8 +160,8 @@
     // A job that is late already still gets capacity that is free.
     if (wait.count() > 0 && now + wait > job->latest_start)
     {
-        this->finish(*job, job_outcome::refused, "busy",
-                     std::clamp(wait, min_retry_after, max_retry_after), now);
+        this->finish(*job, job_outcome::refused, "busy", retry_after(wait),
+                     now);
         return;
     }
     this->place_waiting(*job, now);
@@ -642,8 +651,7 @@
     if (now >= earliest_refusal && wait.count() > 0 &&
         now + wait > job.latest_start)
     {
-        this->finish(job, job_outcome::refused, "busy",
-                     std::clamp(wait, min_retry_after, max_retry_after), now);
+        this->finish(job, job_outcome::refused, "busy", retry_after(wait), now);
     }
 }
 
--- a/tests/unit/dispatch/pool_dispatcher_test.cpp
+++ b/tests/unit/dispatch/pool_dispatcher_test.cpp
@@ -439,6 +439,21 @@
                0);
 }
 
+// Guards against a job that waits at a holder without usable servers until its
+// time is over: the estimated wait overflowed when it was added to a time.
+BOOST_AUTO_TEST_CASE(job_waiting_no_server_usable_refused_before_its_deadline)
+{
+    this->add_server("s1");
+    this->submit(make_job("running", 2), 1);
+    this->submit(make_job("waiting", 1), 2);
+    BOOST_REQUIRE(!this->result_of(2));
+    this->dispatcher.set_reachable("s1", false, this->now);
+    this->advance(milliseconds(60));
+    BOOST_REQUIRE(this->result_of(2));
+    BOOST_CHECK(this->result_of(2)->outcome == job_outcome::refused);
+    BOOST_TEST(this->result_of(2)->retry_after.count() == 100);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubedrum
