Keep the process after an unexpected error in a handler

Cause: an exception in any handler or timer of jujubedrum-node left the event loop and ended the process, with all its connections and pools.

Change: the loop logs the error and goes on; the handler's connection has no further operations and closes.

--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -79,12 +79,12 @@
 
 void dispatch_node::announce_self()
 {
+    this->loop.after(announce_interval, [this] { this->announce_self(); });
     this->store.announce({this->settings.instance(),
                           this->settings.announced_peers().address,
                           this->settings.announced_peers().port, this->boot,
                           this->settings.domain(), this->settings.cpu(),
                           this->settings.link_kbps()});
-    this->loop.after(announce_interval, [this] { this->announce_self(); });
 }
 
 void dispatch_node::refresh_heartbeat()
@@ -291,6 +291,7 @@
     {
         return;
     }
+    this->loop.after(pump_interval, [this] { this->on_pump_timer(); });
     this->dispatcher.pump(event_loop::now());
     this->router.tick(this->pools.self_view());
     if (this->draining)
@@ -298,7 +299,6 @@
         this->dispatcher.hand_back_unservable(event_loop::now());
         this->pools.release_idle_servers();
     }
-    this->loop.after(pump_interval, [this] { this->on_pump_timer(); });
 }
 
 void dispatch_node::on_election_timer()
@@ -307,9 +307,9 @@
     {
         return;
     }
+    this->loop.after(election_interval, [this] { this->on_election_timer(); });
     this->pools.tick();
     this->refresh_heartbeat();
-    this->loop.after(election_interval, [this] { this->on_election_timer(); });
 }
 
 void dispatch_node::drain()
--- a/src/libruntime/node/event_loop.cpp
+++ b/src/libruntime/node/event_loop.cpp
@@ -1,5 +1,7 @@
 #include "node/event_loop.hpp"
 
+#include "logging.hpp"
+
 #include <ctime>
 
 namespace jujubedrum
@@ -39,7 +41,10 @@
 void event_loop::run()
 {
     this->begin_ticks();
-    this->io.run();
+    while (!this->io.stopped())
+    {
+        this->guard([this] { this->io.run(); });
+    }
 }
 
 bool event_loop::run_until(const std::function<bool()>& condition,
@@ -53,7 +58,7 @@
         {
             return false;
         }
-        this->io.run_one_for(tick_interval);
+        this->guard([this] { this->io.run_one_for(tick_interval); });
     }
     return true;
 }
@@ -82,8 +87,8 @@
             {
                 return;
             }
-            this->run_due();
             this->schedule_tick();
+            this->run_due();
         });
 }
 
@@ -93,7 +98,20 @@
     while (!this->timers.empty() && this->timers.begin()->first.first <= due)
     {
         auto entry = this->timers.extract(this->timers.begin());
-        entry.mapped()();
+        this->guard(entry.mapped());
+    }
+}
+
+void event_loop::guard(const std::function<void()>& function)
+{
+    try
+    {
+        function();
+    }
+    catch (const std::exception& error)
+    {
+        LOG(ERROR) << "node: unexpected error in a handler; reason=\""
+                   << error.what() << "\"";
     }
 }
 
--- a/src/libruntime/node/event_loop.hpp
+++ b/src/libruntime/node/event_loop.hpp
@@ -17,6 +17,10 @@
 /// The single-threaded event loop of an instance, for sockets and coarse
 /// timers. Timers share one tick, because a separate timer for each request
 /// would cost two system calls.
+///
+/// An exception ends the handler that threw it and is logged. Its connection
+/// has no further operations then and closes; all others go on. A duty that
+/// repeats itself sets its next timer first.
 class event_loop
 {
 public:
@@ -49,6 +53,8 @@
     void begin_ticks();
     void schedule_tick();
     void run_due();
+    /// Calls the function and logs what it throws.
+    static void guard(const std::function<void()>& function);
 
     boost::asio::io_context io;
     boost::asio::steady_timer timer;
--- a/src/libruntime/node/peer_mesh.cpp
+++ b/src/libruntime/node/peer_mesh.cpp
@@ -259,8 +259,8 @@
             const auto added =
                 std::make_shared<link>(*this, number, std::move(socket));
             this->links.emplace(number, added);
-            added->begin();
             this->accept();
+            added->begin();
         });
 }
 
@@ -446,11 +446,11 @@
 
 void peer_mesh::on_tick()
 {
+    this->loop.after(tick_interval, [this] { this->on_tick(); });
     this->close_timed_out_links();
     this->dial_missing_members();
     this->update_open_jobs();
     this->send_due_heartbeats();
-    this->loop.after(tick_interval, [this] { this->on_tick(); });
 }
 
 void peer_mesh::close_timed_out_links()
