--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -5,6 +5,8 @@
 #include <limits>
 #include <list>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
@@ -1000,6 +1002,51 @@
     BOOST_TEST(this->record.violations().empty());
 }
 
+// Guards against the use of a server that has left, after a restart of the
+// instance that held it.
+BOOST_AUTO_TEST_CASE(holder_restarted_server_that_left_is_not_used)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    const auto left = this->unlist_server("s2");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->submit("a", "0000000000000001", 4, 50);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->sessions_of("a") == 1U);
+}
+
+// Guards against a message that cannot be decoded and ends the process or the
+// links of other peers.
+BOOST_AUTO_TEST_CASE(peer_malformed_frames_others_go_on)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->start_node("c");
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["c"]->node().ready(); }));
+    const auto port = this->member_of("a").port;
+    const std::vector<std::string> frames{
+        std::string("\x00\x00\x00\x00", 4), std::string("\xff\xff\xff\xff", 4),
+        std::string("\x08\x00\x00\x00", 4) + std::string(8, '\xff'),
+        std::string("\x03\x00\x00\x00", 4) + std::string(3, '\x01')};
+    for (const std::string& frame : frames)
+    {
+        boost::asio::ip::tcp::socket peer(this->loop.context());
+        peer.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+        boost::asio::write(peer, boost::asio::buffer(frame));
+        this->run_for(milliseconds(30));
+    }
+    this->submit("c", "0000000000000001", 1, 50);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubedrum
