Keep pools together at a holder that can serve them

Cause: the hand-over of idle pools moved two of four pools to the first candidate whenever that came back after a restart, although one holder could serve all.

Change: a holder hands pools over only while it holds more servers than it can.

Test: pools_that_fit_their_holder_are_not_handed_over failed before.

--- a/src/libjujubedrum/dispatch/pool_election.cpp
+++ b/src/libjujubedrum/dispatch/pool_election.cpp
@@ -210,6 +210,12 @@
     {
         return result;
     }
+    const std::size_t held =
+        count->second * self.holds.size() / pools_per_domain;
+    if (held <= server_capacity(self.link_kbps))
+    {
+        return result;
+    }
     for (const pool_hold& own : self.holds)
     {
         const instance_view* preferred =
--- a/src/libjujubedrum/dispatch/pool_election.hpp
+++ b/src/libjujubedrum/dispatch/pool_election.hpp
@@ -121,9 +121,11 @@
                   const std::map<std::string, std::size_t>& servers);
 
     /// Returns the pools that `self` should leave to another instance of the
-    /// failure domain, because that one precedes it as the holder and holds at
-    /// least two pools fewer, so that no pool moves back. Servers that register
-    /// one after the other make the first holder take all pools.
+    /// failure domain: it holds more servers than it can, and the other one
+    /// precedes it as the holder and holds at least two pools fewer, so that no
+    /// pool moves back. Servers that register one after the other make the
+    /// first holder take all pools. Otherwise pools stay together, since they
+    /// share capacity at one holder.
     [[nodiscard]] static std::vector<pool_id>
     pools_to_hand_over(const instance_view& self,
                        const std::vector<instance_view>& live,
--- a/tests/unit/dispatch/pool_election_test.cpp
+++ b/tests/unit/dispatch/pool_election_test.cpp
@@ -158,6 +158,22 @@
     BOOST_CHECK(surplus.front() == (pool_id{"d1", 1}));
 }
 
+// Guards against a split of pools that one holder can serve, when the first
+// candidate is back after a restart (earshape-tbs scale-1 of 2026-12-05 served
+// 0.934 instead of 0.952).
+BOOST_AUTO_TEST_CASE(pools_that_fit_their_holder_are_not_handed_over)
+{
+    auto holder = make_instance("b", "d1", 250);
+    const auto restarted = make_instance("a", "d1", 500);
+    for (std::uint32_t shard = 0; shard < pools_per_domain; ++shard)
+    {
+        holder.holds.push_back({{"d1", shard}, 7, true});
+    }
+    BOOST_TEST(
+        pool_election::pools_to_hand_over(holder, {restarted}, one_domain)
+            .empty());
+}
+
 // A pool must not move back and forth.
 BOOST_AUTO_TEST_CASE(pools_shared_evenly_are_not_handed_over)
 {
