--- a/standins/users/log_store_standin.cpp
+++ b/standins/users/log_store_standin.cpp
@@ -132,9 +132,11 @@
     }
     if (path == "/v1/log-newest")
     {
-        this->answer_newest(name,
-                            decode_percent(parameter(request.target, "after")),
-                            responder);
+        this->loop.after(
+            this->newest_delay,
+            [this, name, responder,
+             after = decode_percent(parameter(request.target, "after"))]
+            { this->answer_newest(name, after, responder); });
         return;
     }
     std::uint64_t from = 0;
--- a/standins/users/log_store_standin.hpp
+++ b/standins/users/log_store_standin.hpp
@@ -40,6 +40,8 @@
     void write_server(const std::string& id, const std::string& entry);
     /// Sets the number of keys in a page of the newest records.
     void set_page_size(std::size_t keys) { this->page_size = keys; }
+    /// Delays the replies to reads of the newest records.
+    void set_newest_delay(milliseconds delay) { this->newest_delay = delay; }
     /// Drops the records of all topics but keeps the newest value of each key.
     void compact();
     /// Returns the number of requests received.
@@ -84,6 +86,7 @@
     void expire_reads();
 
     event_loop& loop;
+    milliseconds newest_delay{0};
     http_server server;
     std::map<std::string, topic> topics;
     std::vector<waiting_read> reads;
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -1047,6 +1047,18 @@
                 job_outcome::completed);
 }
 
+// Guards against a configuration that is never read again: after the store had
+// lost its history, each read of the newest records took longer than the fixed
+// time-out and was repeated from the start for 40 s (deploy/days/store.toml on
+// earshape-tbs-grown, seed 272731841658).
+BOOST_AUTO_TEST_CASE(store_newest_records_slow_are_read_nevertheless)
+{
+    this->store.set_newest_delay(milliseconds(900));
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubedrum
