Answer a job whose caller no longer waits instead of routing it

Callers could see a task run twice. An instance that wakes from a freeze resubmits the jobs of lost holders and routes waiting ones before it looks at their limits, and a holder starts a submission without time left at once: it refuses the job only at the next check. By then the caller has stopped waiting and its next attempt may run elsewhere.

Cause: `route_job` did not look at the time left, and `tick` expires jobs after it has routed them. Class: a permission that has run out is acted on.

Before: `dispatch_node_suite/job_waiting_time_over_not_submitted` failed in 3 of 3 runs (the job was submitted with no time left, and the stand-in of the holder did not answer it). After: it passes in 3 of 3.

Ruled out: expiring jobs before they are routed in `tick` alone, since results and closed links route jobs as well.

--- a/src/libruntime/node/job_router.cpp
+++ b/src/libruntime/node/job_router.cpp
@@ -215,6 +215,13 @@
 
 void job_router::route_job(std::uint64_t ticket, open_job& job)
 {
+    if (remaining_terms(job).time_left.count() == 0)
+    {
+        this->unrouted.erase(ticket);
+        this->finish_job(ticket, {job_outcome::refused, "out of time",
+                                  no_holder_retry_after});
+        return;
+    }
     const std::uint64_t cpu = requested_cpu(job.request);
     const dispatch_load own = this->dispatcher.load(event_loop::now());
     std::optional<std::uint64_t> best;
--- a/src/libruntime/node/job_router.hpp
+++ b/src/libruntime/node/job_router.hpp
@@ -103,6 +103,8 @@
         leases_ended, ///< the holder has restarted, and its leases have ended
     };
 
+    /// Sends a job to the best holder. A job whose caller no longer waits is
+    /// answered instead.
     void route_job(std::uint64_t ticket, open_job& job);
     void send_to_holder(std::uint64_t ticket, const open_job& job);
     /// Continues an open job for the caller's next attempt, under a new ticket.
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <limits>
 #include <list>
+#include <thread>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -613,6 +614,52 @@
                 job_outcome::refused);
 }
 
+/// An instance with a job that waits for a holder, which has just lost its
+/// servers.
+struct waiting_job_fixture : node_fixture
+{
+    waiting_job_fixture()
+    {
+        this->start_node("a");
+        this->holder.emplace(this->loop, "holder", this->member_of("a"),
+                             std::vector<pool_hold>{{{"d9", 0}, 1024, true}});
+        BOOST_REQUIRE(
+            this->wait([&] { return this->nodes["a"]->node().ready(); }));
+        this->submit("a", "0000000000000001", 1, 30);
+        this->holder->announce_servers(false);
+        BOOST_REQUIRE(
+            this->wait([&] { return !this->nodes["a"]->node().ready(); }));
+        this->submit("a", job, 1, 30, time_left);
+        BOOST_REQUIRE(this->results.empty());
+    }
+    /// Returns whether the job was submitted to the holder, once it is
+    /// answered.
+    bool was_submitted()
+    {
+        BOOST_REQUIRE(this->wait_for(job));
+        this->run_for(milliseconds(200));
+        const auto& all = this->holder->submissions();
+        return std::any_of(all.begin(), all.end(),
+                           [](const submit_message& each)
+                           { return each.request.id == job; });
+    }
+
+    static constexpr const char* job = "0000000000000002";
+    static constexpr milliseconds time_left{400};
+    std::optional<peer_standin> holder;
+};
+
+// Guards against a start for a caller that stopped waiting while its accepting
+// instance was frozen.
+BOOST_FIXTURE_TEST_CASE(job_waiting_time_over_not_submitted,
+                        waiting_job_fixture)
+{
+    this->holder->announce_servers(true);
+    std::this_thread::sleep_for(2 * time_left);
+    BOOST_TEST(!this->was_submitted());
+    BOOST_CHECK(this->results[job].outcome == job_outcome::refused);
+}
+
 // Guards against a refusal of a job of which a task has started.
 BOOST_AUTO_TEST_CASE(no_holder_refused_and_not_run)
 {
--- a/tests/unit/dispatch/peer_standin.cpp
+++ b/tests/unit/dispatch/peer_standin.cpp
@@ -39,6 +39,14 @@
     this->mesh.send_heartbeat();
 }
 
+void peer_standin::announce_servers(bool present)
+{
+    const std::uint64_t cpu = present ? free_cpu : 0;
+    this->own.load = {cpu, cpu, 0, mean_run_ms};
+    this->mesh.set_heartbeat(this->own);
+    this->mesh.send_heartbeat();
+}
+
 void peer_standin::send(const dispatch_message& message)
 {
     BOOST_REQUIRE(this->link);
--- a/tests/unit/dispatch/peer_standin.hpp
+++ b/tests/unit/dispatch/peer_standin.hpp
@@ -45,6 +45,8 @@
     result_of(std::uint64_t ticket) const;
     /// Sends heartbeats without free capacity from now on.
     void announce_no_capacity();
+    /// Sends heartbeats with free capacity, or without any server, from now on.
+    void announce_servers(bool present);
     /// Sends a message. Requires a link.
     void send(const dispatch_message& message);
 
