Count the time of a suspension in limits and leases

Callers could see a task run twice, or be kept waiting, after a machine had been suspended: the steady clock stands still in a suspension, so that the limit of a caller who had left long ago seemed not to have passed, and a silent link seemed alive.

Both programs now read CLOCK_BOOTTIME, through one function. A lease that ended during the suspension counts as ended as well, which is true at the server, whose clock went on.

The test program replaces `clock_gettime` to simulate a suspension; on this machine the two clocks agree.

Not shown: a real suspension, which the machine of the tests does not offer.

--- a/src/libruntime/engine_host.cpp
+++ b/src/libruntime/engine_host.cpp
@@ -1,6 +1,7 @@
 #include "engine_host.hpp"
 
 #include "logging.hpp"
+#include "monotonic_time.hpp"
 
 #include <chrono>
 #include <future>
@@ -108,8 +109,7 @@
 
 instant engine_host::now()
 {
-    return std::chrono::duration_cast<instant>(
-        std::chrono::steady_clock::now().time_since_epoch());
+    return monotonic_now();
 }
 
 wall_time engine_host::wall()
--- a/src/libruntime/node/event_loop.cpp
+++ b/src/libruntime/node/event_loop.cpp
@@ -1,6 +1,7 @@
 #include "node/event_loop.hpp"
 
 #include "logging.hpp"
+#include "monotonic_time.hpp"
 
 #include <ctime>
 
@@ -15,8 +16,7 @@
 
 instant event_loop::now()
 {
-    return std::chrono::duration_cast<instant>(
-        std::chrono::steady_clock::now().time_since_epoch());
+    return monotonic_now();
 }
 
 wall_time event_loop::wall_now()
--- a/src/libruntime/node/event_loop.hpp
+++ b/src/libruntime/node/event_loop.hpp
@@ -32,7 +32,7 @@
     event_loop();
 
     [[nodiscard]] boost::asio::io_context& context() { return this->io; }
-    /// Returns the time of the steady clock.
+    /// Returns the time of a monotonic clock that counts suspensions.
     [[nodiscard]] static instant now();
     /// Returns the time of day.
     [[nodiscard]] static wall_time wall_now();
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -1,5 +1,6 @@
 #include "node_fixture.hpp"
 #include "peer_standin.hpp"
+#include "suspension.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -660,6 +661,16 @@
     BOOST_CHECK(this->results[job].outcome == job_outcome::refused);
 }
 
+// The same while the machine was suspended.
+BOOST_FIXTURE_TEST_CASE(job_waiting_machine_suspended_time_over_not_submitted,
+                        waiting_job_fixture)
+{
+    this->holder->announce_servers(true);
+    simulate_suspension(seconds(1));
+    BOOST_TEST(!this->was_submitted());
+    BOOST_CHECK(this->results[job].outcome == job_outcome::refused);
+}
+
 // Guards against a refusal of a job of which a task has started.
 BOOST_AUTO_TEST_CASE(no_holder_refused_and_not_run)
 {
