Send a lost result again instead of running its job again

A caller could see its job run a second time although the first run had ended. A result that a holder sends into a link that no longer carries it is lost; the accepting instance sees the link close, links again, and submits the job to the same holder, which had forgotten it.

Another attempt of the caller has another ticket and is run, as the platform allows.

Ruled out: resending from the accepting side, which cannot know that the job has ended.

--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -145,6 +145,10 @@
     this->queue_times.add(report.queued);
     if (origin.instance != 0)
     {
+        if (const auto key = this->key_of(origin))
+        {
+            this->ended_jobs.add(*key, result, event_loop::now());
+        }
         this->mesh.send(
             origin.instance,
             result_message{origin.ticket, result,
@@ -154,6 +158,37 @@
     this->on_message(0, result_message{origin.ticket, result, {}});
 }
 
+std::optional<submission_key>
+dispatch_node::key_of(const job_origin& origin) const
+{
+    const auto peer = this->peers.find(origin.instance);
+    if (peer == this->peers.end())
+    {
+        return std::nullopt;
+    }
+    const instance_view& instance = peer->second.instance;
+    return submission_key{instance.name, instance.boot, origin.ticket};
+}
+
+bool dispatch_node::answer_ended_job(std::uint64_t link,
+                                     const submit_message& submitted)
+{
+    const auto key = this->key_of({link, submitted.ticket});
+    const auto result =
+        key ? this->ended_jobs.find(*key, event_loop::now()) : std::nullopt;
+    if (!result)
+    {
+        return false;
+    }
+    LOG(INFO) << "pool: job had ended, its result is sent again; id="
+              << submitted.request.id
+              << " outcome=" << outcome_name(result->outcome);
+    this->mesh.send(link,
+                    result_message{submitted.ticket, *result,
+                                   this->dispatcher.load(event_loop::now())});
+    return true;
+}
+
 void dispatch_node::on_heartbeat(std::uint64_t link,
                                  const heartbeat_message& heartbeat)
 {
@@ -174,6 +209,10 @@
     if (const auto* submitted = std::get_if<submit_message>(&message))
     {
         const std::string& id = submitted->request.id;
+        if (this->answer_ended_job(link, *submitted))
+        {
+            return;
+        }
         if (this->draining && !this->dispatcher.is_open(id))
         {
             // After a refusal another holder may start the job at once.
--- a/src/libruntime/node/dispatch_node.hpp
+++ b/src/libruntime/node/dispatch_node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/pool_dispatcher.hpp"
+#include "dispatch/result_cache.hpp"
 #include "dispatch/route_table.hpp"
 #include "metrics_registry.hpp"
 #include "node/event_counts.hpp"
@@ -84,6 +85,14 @@
     void on_members(const std::vector<member_record>& members) override;
     void on_store_state(bool reachable, const std::string& reason) override;
 
+    /// Returns the key of a submission over a link; empty if its peer is not
+    /// known.
+    [[nodiscard]] std::optional<submission_key>
+    key_of(const job_origin& origin) const;
+    /// Sends the result again if the submission repeats one whose job has ended
+    /// here. Returns whether it does.
+    bool answer_ended_job(std::uint64_t link, const submit_message& submitted);
+
     void on_pump_timer();
     void on_election_timer();
     void announce_self();
@@ -101,6 +110,7 @@
     std::map<std::uint64_t, heartbeat_message> peers;
     pool_manager pools;
     pool_dispatcher dispatcher;
+    result_cache ended_jobs;
     peer_mesh mesh;
     job_router router;
     bool draining = false;
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -802,6 +802,29 @@
     BOOST_TEST(this->record.total_starts() == 1);
 }
 
+// Guards against a second run of a job whose result was lost with the link to
+// its accepting instance, which submits it again.
+BOOST_AUTO_TEST_CASE(result_lost_job_submitted_again_not_run_again)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    const submit_message job = this->submission_of("0000000000000001", 50);
+    const auto complete = [&]
+    {
+        peer_standin accepting(this->loop, "b", this->member_of("a"), {});
+        BOOST_REQUIRE(this->wait([&] { return accepting.linked(); }));
+        accepting.send(job);
+        BOOST_REQUIRE(this->wait(
+            [&] { return accepting.result_of(job.ticket).has_value(); }));
+        BOOST_CHECK(accepting.result_of(job.ticket)->outcome ==
+                    job_outcome::completed);
+    };
+    complete();
+    complete();
+    BOOST_TEST(this->record.total_starts() == 1);
+}
+
 // Guards against two holders with the same job: the instance had not noticed
 // that the connection of the caller's earlier attempt was broken.
 BOOST_AUTO_TEST_CASE(job_open_submitted_again_stays_with_its_holder)
