Return a job only to the boot of its holder that may still run it

Callers could see a task run twice when a holder reconnected and was then restarted. The accepting instance remembered the holder of such a job by name alone. While the reconnected holder had no capacity the job waited for it, was no longer tied to the link, and went to the next boot of that name as soon as it linked, when runs of the boot before had up to a second of lease left.

Cause: a name was taken as the identity of a process. The job is now sent over the link to the same boot at once, which refuses or continues it; if the link closes, the job is tied to it and waits for successors or leases as any other.

Ruled out: comparing the boot when the waiting job is routed, which would leave it waiting for a boot that is gone.

--- a/src/libruntime/node/job_router.cpp
+++ b/src/libruntime/node/job_router.cpp
@@ -91,7 +91,6 @@
     if (handed_back)
     {
         at->second.may_have_run = true;
-        at->second.required_holder.clear();
     }
     if ((handed_back || ended.result.outcome == job_outcome::refused) &&
         at->second.tried_holders.size() < max_holders_tried &&
@@ -213,13 +212,23 @@
            std::chrono::duration<double>(needed) * drain_safety_factor;
 }
 
+bool job_router::answer_if_out_of_time(std::uint64_t ticket,
+                                       const open_job& job)
+{
+    if (remaining_terms(job).time_left.count() > 0)
+    {
+        return false;
+    }
+    this->unrouted.erase(ticket);
+    this->finish_job(
+        ticket, {job_outcome::refused, "out of time", no_holder_retry_after});
+    return true;
+}
+
 void job_router::route_job(std::uint64_t ticket, open_job& job)
 {
-    if (remaining_terms(job).time_left.count() == 0)
+    if (this->answer_if_out_of_time(ticket, job))
     {
-        this->unrouted.erase(ticket);
-        this->finish_job(ticket, {job_outcome::refused, "out of time",
-                                  no_holder_retry_after});
         return;
     }
     const std::uint64_t cpu = requested_cpu(job.request);
@@ -230,8 +239,7 @@
                               const std::string& domain,
                               const dispatch_load& load)
     {
-        if (load.total_cpu == 0 || job.tried_holders.count(name) > 0 ||
-            (!job.required_holder.empty() && job.required_holder != name))
+        if (load.total_cpu == 0 || job.tried_holders.count(name) > 0)
         {
             return;
         }
@@ -496,13 +504,43 @@
                   << " basis=" << basis_name(basis)
                   << " closed_ms=" << closed_for.count();
         at->second.tried_holders.clear();
-        at->second.required_holder = basis == resubmission_basis::rejoined
-                                         ? disconnected.instance.name
-                                         : "";
+        if (basis == resubmission_basis::rejoined)
+        {
+            this->return_to_holder(ticket, at->second, disconnected);
+            continue;
+        }
         this->route_job(ticket, at->second);
     }
 }
 
+void job_router::return_to_holder(std::uint64_t ticket, open_job& job,
+                                  const disconnected_holder& disconnected)
+{
+    if (this->answer_if_out_of_time(ticket, job))
+    {
+        return;
+    }
+    const auto holder =
+        std::find_if(this->peers.begin(), this->peers.end(),
+                     [&disconnected](const auto& peer)
+                     {
+                         return pool_election::same_holder(
+                             disconnected.instance, peer.second.instance);
+                     });
+    if (holder == this->peers.end())
+    {
+        // The link has closed while other jobs were sent over it.
+        disconnected_holder again = disconnected;
+        again.tickets = {ticket};
+        this->disconnected_holders.push_back(std::move(again));
+        return;
+    }
+    job.link = holder->first;
+    job.holder = disconnected.instance.name;
+    job.tried_holders.insert(job.holder);
+    this->send_to_holder(ticket, job);
+}
+
 const char* job_router::basis_name(resubmission_basis basis)
 {
     switch (basis)
--- a/src/libruntime/node/job_router.hpp
+++ b/src/libruntime/node/job_router.hpp
@@ -81,7 +81,6 @@
         std::uint64_t link = 0;   ///< holder; 0: this instance
         bool local = false;
         std::set<std::string> tried_holders; ///< holders that it was sent to
-        std::string required_holder; ///< the only one allowed; empty: any
         /// A holder disconnected with it, or handed it back.
         bool may_have_run = false;
     };
@@ -103,6 +102,8 @@
         leases_ended, ///< the holder has restarted, and its leases have ended
     };
 
+    /// Answers a job whose caller no longer waits. Returns whether it does.
+    bool answer_if_out_of_time(std::uint64_t ticket, const open_job& job);
     /// Sends a job to the best holder. A job whose caller no longer waits is
     /// answered instead.
     void route_job(std::uint64_t ticket, open_job& job);
@@ -120,6 +121,10 @@
                const std::vector<instance_view>& instances) const;
     void resubmit(const disconnected_holder& disconnected,
                   resubmission_basis basis);
+    /// Sends a job to the boot of its holder that may still run it, whatever
+    /// capacity that has.
+    void return_to_holder(std::uint64_t ticket, open_job& job,
+                          const disconnected_holder& disconnected);
     [[nodiscard]] static const char* basis_name(resubmission_basis basis);
     /// Refuses a job that no holder can take now, or lets it wait if a holder
     /// is expected in time.
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -671,6 +671,33 @@
     BOOST_CHECK(this->results[job].outcome == job_outcome::refused);
 }
 
+// Guards against sending a job that waits for its reconnected holder to a later
+// boot of it, while runs of the earlier boot may remain.
+BOOST_AUTO_TEST_CASE(
+    holder_reconnected_without_capacity_restarted_lease_awaited)
+{
+    this->start_node("a");
+    std::optional<peer_standin> holder;
+    const auto open = [&](std::uint64_t token, std::uint64_t boot, bool servers)
+    {
+        holder.reset();
+        holder.emplace(this->loop, "0holder", this->member_of("a"),
+                       std::vector<pool_hold>{{{"d9", 0}, token, false}}, boot);
+        holder->announce_servers(servers);
+        BOOST_REQUIRE(this->wait([&] { return holder->linked(); }));
+    };
+    open(1024, 1, true);
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["a"]->node().ready(); }));
+    this->submit("a", "0000000000000001", 1, 300);
+    BOOST_REQUIRE(this->wait([&] { return !holder->submissions().empty(); }));
+    open(1024, 1, false);
+    this->run_for(milliseconds(150));
+    open(2048, 2, true);
+    const instant linked = event_loop::now();
+    BOOST_REQUIRE(this->wait([&] { return !holder->submissions().empty(); }));
+    BOOST_CHECK(event_loop::now() - linked >= seconds(1));
+}
+
 // Guards against a refusal of a job of which a task has started.
 BOOST_AUTO_TEST_CASE(no_holder_refused_and_not_run)
 {
--- a/tests/unit/dispatch/peer_standin.cpp
+++ b/tests/unit/dispatch/peer_standin.cpp
@@ -19,11 +19,11 @@
 
 peer_standin::peer_standin(event_loop& loop, const std::string& name,
                            const member_record& tested,
-                           std::vector<pool_hold> holds)
-    : mesh(loop, {name, "127.0.0.1", 0, 1, other_domain, 1000}, *this)
+                           std::vector<pool_hold> holds, std::uint64_t boot)
+    : mesh(loop, {name, "127.0.0.1", 0, boot, other_domain, 1000}, *this)
 {
     const std::uint64_t cpu = holds.empty() ? 0 : free_cpu;
-    this->own = {{name, 1, other_domain, 1000, false, std::move(holds)},
+    this->own = {{name, boot, other_domain, 1000, false, std::move(holds)},
                  {cpu, cpu, 0, mean_run_ms},
                  milliseconds(0)};
     this->mesh.set_heartbeat(this->own);
--- a/tests/unit/dispatch/peer_standin.hpp
+++ b/tests/unit/dispatch/peer_standin.hpp
@@ -20,7 +20,8 @@
     /// \param holds sent in the heartbeats; a peer that holds pools also
     /// announces free capacity.
     peer_standin(event_loop& loop, const std::string& name,
-                 const member_record& tested, std::vector<pool_hold> holds);
+                 const member_record& tested, std::vector<pool_hold> holds,
+                 std::uint64_t boot = 1);
 
     /// Returns whether a heartbeat of the instance under test has arrived.
     [[nodiscard]] bool linked() const { return this->link.has_value(); }
