Take a lost holder without pools as unknown, not as clean

Callers could see a task run twice: the jobs of a lost holder whose last heartbeat named no pool were submitted elsewhere at once, since all of no pools are clean. A holder that has taken pools since, or still ends jobs of pools that it gave up, may have runs.

Before: `holder_lost_without_pools_job_not_submitted_elsewhere` failed in 3 of 3 runs (the job was submitted to another holder).

--- a/src/libjujubedrum/dispatch/pool_election.cpp
+++ b/src/libjujubedrum/dispatch/pool_election.cpp
@@ -295,7 +295,7 @@
                                                   succeeds);
                            });
     };
-    return std::all_of(lost.begin(), lost.end(), cleaned);
+    return !lost.empty() && std::all_of(lost.begin(), lost.end(), cleaned);
 }
 
 std::size_t pool_election::rank(const instance_view& self,
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -698,6 +698,28 @@
     BOOST_CHECK(event_loop::now() - linked >= seconds(1));
 }
 
+// Guards against taking the servers of a lost holder as clean because its last
+// heartbeat names no pool.
+BOOST_AUTO_TEST_CASE(holder_lost_without_pools_job_not_submitted_elsewhere)
+{
+    this->start_node("a");
+    std::optional<peer_standin> holder;
+    holder.emplace(this->loop, "holder", this->member_of("a"),
+                   std::vector<pool_hold>{});
+    holder->announce_servers(true);
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["a"]->node().ready(); }));
+    this->submit("a", "0000000000000001", 1, 300, milliseconds(1500));
+    BOOST_REQUIRE(this->wait([&] { return !holder->submissions().empty(); }));
+    peer_standin other(this->loop, "other", this->member_of("a"),
+                       std::vector<pool_hold>{{{"d9", 1}, 1024, true}});
+    BOOST_REQUIRE(this->wait([&] { return other.linked(); }));
+    holder.reset();
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::incomplete);
+    BOOST_TEST(other.submissions().empty());
+}
+
 // Guards against a refusal of a job of which a task has started.
 BOOST_AUTO_TEST_CASE(no_holder_refused_and_not_run)
 {
