Tell the earlier accepting instance that another one submitted its job

Callers could see a task run twice: when the caller's next attempt came to another instance while the first had not noticed that its connection was broken, the holder replaced the receiver of the result without a word. Both instances had the job open, and when the holder was lost both submitted it again, to different holders.

The holder now answers the earlier instance with an incomplete result.

Open: two instances that chose different holders do not learn of each other.

--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <limits>
+#include <utility>
 
 namespace jujubedrum
 {
@@ -125,7 +126,15 @@
         {
             // The connection of the caller's earlier attempt was closed. The
             // job is the same; only the receiver of its result changes.
-            job->origin = origin;
+            const job_origin earlier = std::exchange(job->origin, origin);
+            if (earlier.instance != origin.instance)
+            {
+                this->listener.job_ended(earlier,
+                                         {job_outcome::incomplete,
+                                          "submitted by another instance",
+                                          milliseconds(0)},
+                                         job->report(now));
+            }
             return;
         }
         job->reopen(terms, origin, now);
--- a/src/libjujubedrum/dispatch/pool_dispatcher.hpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.hpp
@@ -74,7 +74,7 @@
     void set_reachable(const std::string& id, bool value, instant now);
 
     /// Places, queues or refuses a job. If it is open already, only its origin
-    /// is replaced.
+    /// is replaced; another instance that waited for it gets it as incomplete.
     void submit(job_request request, const job_terms& terms,
                 const job_origin& origin, instant now);
     /// Ends a job that its caller no longer waits for as incomplete.
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -720,6 +720,29 @@
     BOOST_TEST(other.submissions().empty());
 }
 
+// Guards against an instance that still waits for a job which another one has
+// submitted since, and would submit it again when the holder is lost.
+BOOST_AUTO_TEST_CASE(job_submitted_by_second_instance_first_is_told)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    peer_standin first(this->loop, "b", this->member_of("a"), {});
+    peer_standin second(this->loop, "c", this->member_of("a"), {});
+    BOOST_REQUIRE(
+        this->wait([&] { return first.linked() && second.linked(); }));
+    submit_message job = this->submission_of("0000000000000001", 300);
+    first.send(job);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    job.ticket = 2;
+    second.send(job);
+    BOOST_REQUIRE(this->wait([&] { return second.result_of(2).has_value(); }));
+    BOOST_CHECK(second.result_of(2)->outcome == job_outcome::completed);
+    BOOST_REQUIRE(this->wait([&] { return first.result_of(1).has_value(); }));
+    BOOST_CHECK(first.result_of(1)->outcome == job_outcome::incomplete);
+    BOOST_TEST(this->record.total_starts() == 1);
+}
+
 // Guards against a refusal of a job of which a task has started.
 BOOST_AUTO_TEST_CASE(no_holder_refused_and_not_run)
 {
