Take a pool as cleaned only with every server of the lost holder

An accepting instance submits the jobs of a lost holder again, elsewhere, as soon as all its pools are held clean under higher tokens. A pool was clean if its new holder had taken over every server that this holder knows.

Cause: the successor does not know a server on which the lost holder has runs under a lease of up to a second. The holder named servers with a missing entry or one younger than 2 s; that others have read an entry after 2 s, and that the holder has read the removals they have read, was taken for granted.

The change: each hold in a heartbeat lists the hashes of the servers with sessions. The list of the lost holder has to be contained in that of the clean successor, which has taken over what it lists under a higher token. No time and no position in the list of servers is compared, so it holds for servers learned or dropped in any order, after lost history, and without the store. A server costs 8 bytes.

Compared and left out: positions in the log of the server list (the sender's, that of the youngest server of a pool, that of the last removal). They need reports by the store adapter after each page and a field in every heartbeat, and a holder without the store would be compared by an old one.

Instances of earlier versions list nothing; with them the earlier rule holds. Between instances that list servers, a server with an entry younger than 2 s no longer delays the resubmission.

What callers would have seen: two runs of one task, if the store was away for one of two holders while servers came or left, and the holder was lost.

--- a/src/libjujubedrum/dispatch/pool_election.cpp
+++ b/src/libjujubedrum/dispatch/pool_election.cpp
@@ -85,6 +85,25 @@
     return pool.shard % holders;
 }
 
+/// Returns whether `successor` has taken over every server on which `lost` may
+/// have runs in the pool of `before`.
+bool has_taken_over(const instance_view& lost, const pool_hold& before,
+                    const pool_hold& successor)
+{
+    if (successor.pool != before.pool || successor.token <= before.token ||
+        !successor.clean)
+    {
+        return false;
+    }
+    if (!before.servers || !successor.servers)
+    {
+        // One of them is of an earlier version.
+        return lost.unlisted_servers.empty();
+    }
+    return std::includes(successor.servers->begin(), successor.servers->end(),
+                         before.servers->begin(), before.servers->end());
+}
+
 } // namespace
 
 std::size_t server_capacity(std::uint32_t link_kbps)
@@ -145,6 +164,11 @@
                                                       pools_per_domain)};
 }
 
+std::uint64_t hash_of(const std::string& server)
+{
+    return stable_hash(server);
+}
+
 bool pool_election::watches_servers(const instance_view& self,
                                     const std::vector<instance_view>& live)
 {
@@ -278,15 +302,13 @@
                        });
 }
 
-bool pool_election::all_clean(const std::vector<pool_hold>& lost,
+bool pool_election::all_clean(const instance_view& lost,
                               const std::vector<instance_view>& instances)
 {
-    const auto cleaned = [&instances](const pool_hold& before)
+    const auto cleaned = [&lost, &instances](const pool_hold& before)
     {
-        const auto succeeds = [&before](const pool_hold& hold) {
-            return hold.pool == before.pool && hold.token > before.token &&
-                   hold.clean;
-        };
+        const auto succeeds = [&lost, &before](const pool_hold& hold)
+        { return has_taken_over(lost, before, hold); };
         return std::any_of(instances.begin(), instances.end(),
                            [&succeeds](const instance_view& instance)
                            {
@@ -295,7 +317,7 @@
                                                   succeeds);
                            });
     };
-    return std::all_of(lost.begin(), lost.end(), cleaned);
+    return std::all_of(lost.holds.begin(), lost.holds.end(), cleaned);
 }
 
 std::size_t pool_election::rank(const instance_view& self,
--- a/src/libjujubedrum/dispatch/pool_election.hpp
+++ b/src/libjujubedrum/dispatch/pool_election.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,12 +39,19 @@
 /// Returns the pool of a server.
 [[nodiscard]] pool_id pool_of(const server_info& server);
 
+/// Returns the hash by which heartbeats list a server.
+[[nodiscard]] std::uint64_t hash_of(const std::string& server);
+
 struct pool_hold
 {
     pool_id pool;
     std::uint64_t token = 0; ///< fencing token
     /// No run that an earlier holder started remains on its servers.
     bool clean = false;
+    /// Hashes of the ids of the servers on which the holder may start tasks, by
+    /// `hash_of`, in ascending order. Nothing if the holder is of a version
+    /// that does not list them.
+    std::optional<std::vector<std::uint64_t>> servers = std::nullopt;
 
     bool operator==(const pool_hold&) const = default;
 };
@@ -157,10 +165,12 @@
     [[nodiscard]] static bool same_holder(const instance_view& before,
                                           const instance_view& now);
 
-    /// Returns whether every pool in `lost` has a holder with a higher token
-    /// on whose servers no runs of earlier holders remain.
+    /// Returns whether every pool of `lost` has a holder with a higher token
+    /// that has taken over all servers on which `lost` may have runs, so that
+    /// none of them remains. A holder that does not know one of these servers,
+    /// or has dropped it, cannot have stopped the runs there.
     [[nodiscard]] static bool
-    all_clean(const std::vector<pool_hold>& lost,
+    all_clean(const instance_view& lost,
               const std::vector<instance_view>& instances);
 
     /// Returns the position of `self` among the candidates for the pool, from
--- a/src/libruntime/node/dispatch.capnp
+++ b/src/libruntime/node/dispatch.capnp
@@ -10,6 +10,8 @@
   shard @1 :UInt32;
   token @2 :UInt64;
   clean @3 :Bool;
+  servers @4 :List(UInt64);  # hashes of ids
+  listsServers @5 :Bool;  # false in messages of earlier versions
 }
 
 struct Hello {
--- a/src/libruntime/node/dispatch.capnp.h
+++ b/src/libruntime/node/dispatch.capnp.h
@@ -41,7 +41,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ac8a33bb67df5bc5, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ac8a33bb67df5bc5, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -219,6 +219,11 @@
 
   inline bool getClean() const;
 
+  inline bool hasServers() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getServers() const;
+
+  inline bool getListsServers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -263,6 +268,17 @@
   inline bool getClean();
   inline void setClean(bool value);
 
+  inline bool hasServers();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getServers();
+  inline void setServers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setServers(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initServers(unsigned int size);
+  inline void adoptServers(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownServers();
+
+  inline bool getListsServers();
+  inline void setListsServers(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1406,6 +1422,58 @@
       ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PoolHold::Reader::hasServers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PoolHold::Builder::hasServers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PoolHold::Reader::getServers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PoolHold::Builder::getServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PoolHold::Builder::setServers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void PoolHold::Builder::setServers(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PoolHold::Builder::initServers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PoolHold::Builder::adoptServers(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PoolHold::Builder::disownServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool PoolHold::Reader::getListsServers() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+
+inline bool PoolHold::Builder::getListsServers() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+inline void PoolHold::Builder::setListsServers(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Hello::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libruntime/node/job_router.cpp
+++ b/src/libruntime/node/job_router.cpp
@@ -462,9 +462,7 @@
     {
         disconnected.restarted = now;
     }
-    // A successor may not have taken over servers that it does not know.
-    if (disconnected.instance.unlisted_servers.empty() &&
-        pool_election::all_clean(disconnected.instance.holds, instances))
+    if (pool_election::all_clean(disconnected.instance, instances))
     {
         return resubmission_basis::pools_clean;
     }
--- a/src/libruntime/node/peer_message.cpp
+++ b/src/libruntime/node/peer_message.cpp
@@ -2,7 +2,7 @@
 
 #include "node/dispatch.capnp.h"
 
-#include <array>
+#include <algorithm>
 #include <cstring>
 
 #include <capnp/message.h>
@@ -32,6 +32,36 @@
             in.getMeanRunMs()};
 }
 
+void put_servers(PoolHold::Builder out, const pool_hold& in)
+{
+    if (!in.servers)
+    {
+        return;
+    }
+    out.setListsServers(true);
+    auto servers = out.initServers(static_cast<unsigned>(in.servers->size()));
+    for (unsigned i = 0; i < servers.size(); ++i)
+    {
+        servers.set(i, (*in.servers)[i]);
+    }
+}
+
+std::optional<std::vector<std::uint64_t>> get_servers(PoolHold::Reader in)
+{
+    if (!in.getListsServers())
+    {
+        return std::nullopt;
+    }
+    std::vector<std::uint64_t> out;
+    for (const std::uint64_t server : in.getServers())
+    {
+        out.push_back(server);
+    }
+    // Comparisons rely on the order, and the sender may have broken it.
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
 void put_heartbeat(Hello::Builder out, const heartbeat_message& in)
 {
     out.setName(in.instance.name);
@@ -47,6 +77,7 @@
         pools[i].setShard(in.instance.holds[i].pool.shard);
         pools[i].setToken(in.instance.holds[i].token);
         pools[i].setClean(in.instance.holds[i].clean);
+        put_servers(pools[i], in.instance.holds[i]);
     }
     auto unlisted = out.initUnlistedServers(
         static_cast<unsigned>(in.instance.unlisted_servers.size()));
@@ -72,7 +103,8 @@
     {
         out.instance.holds.push_back({{hold.getDomain(), hold.getShard()},
                                       hold.getToken(),
-                                      hold.getClean()});
+                                      hold.getClean(),
+                                      get_servers(hold)});
     }
     for (const auto server : in.getUnlistedServers())
     {
--- a/src/libruntime/node/pool_manager.cpp
+++ b/src/libruntime/node/pool_manager.cpp
@@ -208,7 +208,8 @@
     view.draining = this->draining;
     for (const auto& [pool, hold] : this->held)
     {
-        view.holds.push_back({pool, hold.token, this->is_clean(pool)});
+        view.holds.push_back({pool, hold.token, this->is_clean(pool),
+                              this->listed_servers(pool)});
     }
     for (const auto& [id, session] : this->sessions)
     {
@@ -220,6 +221,22 @@
     return view;
 }
 
+std::vector<std::uint64_t>
+pool_manager::listed_servers(const pool_id& pool) const
+{
+    std::vector<std::uint64_t> hashes;
+    for (const auto& [id, session] : this->sessions)
+    {
+        const auto at = this->servers.find(id);
+        if (at != this->servers.end() && pool_of(at->second.info) == pool)
+        {
+            hashes.push_back(hash_of(id));
+        }
+    }
+    std::sort(hashes.begin(), hashes.end());
+    return hashes;
+}
+
 bool pool_manager::is_unlisted(const std::string& server) const
 {
     const auto at = this->servers.find(server);
--- a/src/libruntime/node/pool_manager.hpp
+++ b/src/libruntime/node/pool_manager.hpp
@@ -147,6 +147,10 @@
     /// Returns the number of servers by failure domain, for the domains whose
     /// pools this instance may claim.
     [[nodiscard]] std::map<std::string, std::size_t> claimable_servers() const;
+    /// Returns the hashes of the servers of a pool that this instance has a
+    /// session with, in ascending order.
+    [[nodiscard]] std::vector<std::uint64_t>
+    listed_servers(const pool_id& pool) const;
     /// Returns whether a successor may not know the server.
     [[nodiscard]] bool is_unlisted(const std::string& server) const;
     /// Returns whether all servers of the pool were taken over, so that no run
--- a/standins/users/log_store_standin.cpp
+++ b/standins/users/log_store_standin.cpp
@@ -101,13 +101,22 @@
     , server(events, "X-None",
              [this](const http_request& request, const auto& responder)
              { this->serve(request, responder); })
+    , second_server(events, "X-None",
+                    [this](const http_request& request, const auto& responder)
+                    {
+                        if (!this->second_unresponsive)
+                        {
+                            this->serve(request, responder);
+                        }
+                    })
 {
 }
 
 bool log_store_standin::listen()
 {
     this->expire_reads();
-    return this->server.listen("127.0.0.1", 0);
+    return this->server.listen("127.0.0.1", 0) &&
+           this->second_server.listen("127.0.0.1", 0);
 }
 
 void log_store_standin::serve(const http_request& request,
--- a/standins/users/log_store_standin.hpp
+++ b/standins/users/log_store_standin.hpp
@@ -33,6 +33,18 @@
     bool listen();
     [[nodiscard]] std::uint16_t port() const { return this->server.port(); }
     void set_fault(fault value) { this->active_fault = value; }
+    /// Returns the port of a second address of the same store, for the clients
+    /// that a test cuts off from it.
+    [[nodiscard]] std::uint16_t second_port() const
+    {
+        return this->second_server.port();
+    }
+    /// While set, requests to the second address have no effect and get no
+    /// reply.
+    void set_second_unresponsive(bool value)
+    {
+        this->second_unresponsive = value;
+    }
     /// Publishes a configuration under the key that operators write.
     void publish(const std::string& config_json);
     /// Writes the entry of a backend server, or removes it if the entry is
@@ -88,6 +100,8 @@
     event_loop& loop;
     milliseconds newest_delay{0};
     http_server server;
+    http_server second_server;
+    bool second_unresponsive = false;
     std::map<std::string, topic> topics;
     std::vector<waiting_read> reads;
     fault active_fault = fault::none;
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -202,6 +202,89 @@
     BOOST_TEST(this->record.violations().empty());
 }
 
+// Guards against taking a pool as clean whose successor has not read the list
+// of servers since the lost holder learned one of them.
+BOOST_AUTO_TEST_CASE(holder_killed_successor_behind_on_new_server_runs_once)
+{
+    this->add_server("s1", "d1");
+    this->start_node("a", "d1");
+    this->start_node_on_second_store("b", "d1");
+    this->start_node("c", "d2");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["b"]->node().ready(); }));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["c"]->node().ready(); }));
+    this->store.set_second_unresponsive(true);
+    this->add_server("s2", "d1");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    // By then, a new entry is no longer named in heartbeats.
+    this->run_for(milliseconds(2500));
+    this->submit("c", "0000000000000001", 4, 2500);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 4; }));
+    this->add_server("s3", "d2");
+    this->add_server("s4", "d2");
+    BOOST_REQUIRE(this->wait_for_servers("c", 2));
+    this->nodes.erase("a");
+    BOOST_REQUIRE(this->wait([&] { return this->holds_all_pools("b"); }));
+    this->run_for(milliseconds(500));
+    this->store.set_second_unresponsive(false);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.violations().empty());
+}
+
+// Guards against taking a pool as clean whose successor has dropped a server
+// that the lost holder, cut off from the store, still used.
+BOOST_AUTO_TEST_CASE(holder_killed_removal_read_only_by_successor_runs_once)
+{
+    this->add_server("s1", "d1");
+    this->start_node_on_second_store("a", "d1");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->start_node("b", "d1");
+    this->start_node("c", "d2");
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["b"]->node().ready(); }));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["c"]->node().ready(); }));
+    this->submit("c", "0000000000000001", 2, 6500);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 2; }));
+    this->add_server("s3", "d1");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    // By then, the entry is no longer named as a new one.
+    this->run_for(milliseconds(2200));
+    this->store.set_second_unresponsive(true);
+    const auto unlisted = this->unlist_server("s1");
+    this->add_server("s2", "d2");
+    BOOST_REQUIRE(this->wait_for_servers("c", 1));
+    // By then, the other instances have dropped the server.
+    this->run_for(milliseconds(3200));
+    this->nodes.erase("a");
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_TEST(this->record.violations().empty());
+}
+
+// Guards against waiting for the caller's limit where the successor has taken
+// over every server of the killed holder without the store.
+BOOST_AUTO_TEST_CASE(holder_killed_store_down_job_runs_again)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->start_node("a");
+    this->start_node("b");
+    this->start_node("c");
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["b"]->node().ready(); }));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["c"]->node().ready(); }));
+    this->run_for(milliseconds(500));
+    this->submit("c", "0000000000000001", 4, 600);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 4; }));
+    this->store.set_fault(log_store_standin::fault::unresponsive);
+    this->nodes.erase("a");
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.total_starts() > 4);
+    BOOST_TEST(this->record.violations().empty());
+}
+
 // Guards against a job that waits at a stopping holder without a reachable
 // server until that holder exits, while its successor has free servers (part a
 // of the TWICE incident, seed 503).
--- a/tests/unit/dispatch/node_fixture.cpp
+++ b/tests/unit/dispatch/node_fixture.cpp
@@ -65,6 +65,19 @@
 
 void node_fixture::start_node(const std::string& name,
                               const std::string& domain)
+{
+    this->start_node(name, domain, this->store.port());
+}
+
+void node_fixture::start_node_on_second_store(const std::string& name,
+                                              const std::string& domain)
+{
+    this->start_node(name, domain, this->store.second_port());
+}
+
+void node_fixture::start_node(const std::string& name,
+                              const std::string& domain,
+                              std::uint16_t store_port)
 {
     if (this->peer_ports.count(name) == 0)
     {
@@ -73,7 +86,7 @@
     this->nodes.erase(name);
     this->nodes[name] = std::make_unique<node_under_test>(
         this->loop,
-        make_settings(name, domain, this->peer_ports[name], this->store.port()),
+        make_settings(name, domain, this->peer_ports[name], store_port),
         this->next_boot++);
 }
 
--- a/tests/unit/dispatch/node_fixture.hpp
+++ b/tests/unit/dispatch/node_fixture.hpp
@@ -38,6 +38,9 @@
     /// Starts an instance. One of the same name is stopped first, so that this
     /// restarts it.
     void start_node(const std::string& name, const std::string& domain = "d1");
+    /// Starts an instance that uses the second address of the store.
+    void start_node_on_second_store(const std::string& name,
+                                    const std::string& domain = "d1");
     void add_server(const std::string& id, const std::string& domain = "d1");
     void write_entry(const std::string& id);
     /// Removes the entry of a server, which goes on running.
@@ -82,6 +85,8 @@
     std::map<std::string, std::unique_ptr<node_under_test>> nodes;
 
 private:
+    void start_node(const std::string& name, const std::string& domain,
+                    std::uint16_t store_port);
     void refresh_entries();
 
     std::map<std::string, std::uint16_t> peer_ports;
--- a/tests/unit/dispatch/peer_message_test.cpp
+++ b/tests/unit/dispatch/peer_message_test.cpp
@@ -49,6 +49,10 @@
     heartbeat_message heartbeat;
     heartbeat.instance = {"e1",        77, "d1", 250, true, {{{"d1", 3}, 4096}},
                           {"s1", "s2"}};
+    heartbeat.instance.holds.push_back(
+        {{"d1", 2}, 8192, true, std::vector<std::uint64_t>{3, 1UL << 63U}});
+    heartbeat.instance.holds.push_back(
+        {{"d1", 1}, 8192, true, std::vector<std::uint64_t>{}});
     heartbeat.load = {100, 50, 25, 12.5};
     heartbeat.interval = milliseconds(360);
     const std::vector<dispatch_message> messages{
--- a/tests/unit/dispatch/pool_election_test.cpp
+++ b/tests/unit/dispatch/pool_election_test.cpp
@@ -242,7 +242,8 @@
 // remain: it would run twice.
 BOOST_AUTO_TEST_CASE(lost_pools_clean_only_under_higher_clean_tokens)
 {
-    const std::vector<pool_hold> lost{{{"d1", 0}, 5}, {{"d1", 1}, 5}};
+    auto lost = make_instance("a", "d1");
+    lost.holds = {{{"d1", 0}, 5}, {{"d1", 1}, 5}};
     auto next = make_instance("b", "d1");
     next.holds = {{{"d1", 0}, 6, true}, {{"d1", 1}, 6, false}};
     BOOST_TEST(!pool_election::all_clean(lost, {next}));
@@ -252,6 +253,42 @@
     BOOST_TEST(!pool_election::all_clean(lost, {next}));
 }
 
+// Guards against taking a pool as clean whose successor does not know a server
+// on which the lost holder may have runs.
+BOOST_AUTO_TEST_CASE(pool_clean_only_with_every_server_of_lost_holder)
+{
+    auto lost = make_instance("a", "d1");
+    lost.holds = {{{"d1", 0}, 5, true, std::vector<std::uint64_t>{2, 7}}};
+    auto next = make_instance("b", "d1");
+    next.holds = {{{"d1", 0}, 6, true, std::vector<std::uint64_t>{1, 2}}};
+    BOOST_TEST(!pool_election::all_clean(lost, {next}));
+    next.holds[0].servers = std::vector<std::uint64_t>{1, 2, 7};
+    BOOST_TEST(pool_election::all_clean(lost, {next}));
+    // What has no entry is taken over all the same.
+    lost.unlisted_servers = {"s7"};
+    BOOST_TEST(pool_election::all_clean(lost, {next}));
+    next.holds[0].clean = false;
+    BOOST_TEST(!pool_election::all_clean(lost, {next}));
+}
+
+// Holders of earlier versions list no servers, but name those that others may
+// not know.
+BOOST_AUTO_TEST_CASE(pool_servers_not_listed_earlier_rule_holds)
+{
+    auto lost = make_instance("a", "d1");
+    lost.holds = {{{"d1", 0}, 5, true}};
+    auto next = make_instance("b", "d1");
+    next.holds = {{{"d1", 0}, 6, true, std::vector<std::uint64_t>{1}}};
+    BOOST_TEST(pool_election::all_clean(lost, {next}));
+    lost.unlisted_servers = {"s7"};
+    BOOST_TEST(!pool_election::all_clean(lost, {next}));
+    lost.holds[0].servers = std::vector<std::uint64_t>{7};
+    next.holds[0].servers.reset();
+    BOOST_TEST(!pool_election::all_clean(lost, {next}));
+    lost.unlisted_servers.clear();
+    BOOST_TEST(pool_election::all_clean(lost, {next}));
+}
+
 // Guards against two holders that keep a pool under the same derived token and
 // stop each other's runs.
 BOOST_AUTO_TEST_CASE(two_holders_with_equal_tokens_one_gives_up)
