Run a job only on servers that its accepting instance knows of

After the loss of a holder the accepting instance waits until a successor has taken over every server in the last list of that holder. The holder could have opened sessions with further servers since then, and have started the job there.

Cause: the view by which the accepting instance judges is older than the run.

The change: a holder numbers its sessions with servers. The number is in its view, next to the lists. `submit` carries the number that the accepting instance has last seen over the link, and a new message, `seen`, confirms a later one while the sender has open jobs there. The dispatcher starts a job only on servers up to the confirmed number, so the list that the accepting instance has covers every run of the job, also those in pools taken meanwhile. When the number has risen, the holder sends a heartbeat at its next check of the pools (100 ms).

Local jobs are not limited: with this instance their caller's connection ends. Instances of earlier versions confirm nothing and are not limited either; they get no `seen`, since they send no number.

Ruled out: waiting with the first start on a new server for a time, since no time proves that a heartbeat has arrived; and the number in each heartbeat instead of a message, which would have to be encoded for each link.

What callers would have seen: two runs of one task after the loss of a holder that had just learned a server. With the change a server that is new to a holder serves jobs from other instances up to 100 ms and a round trip later. Unchanged views still go as `alive`.

--- a/src/libjujubedrum/dispatch/held_server.hpp
+++ b/src/libjujubedrum/dispatch/held_server.hpp
@@ -15,6 +15,8 @@
 {
     server_record record;
     std::vector<task_ref> runs; ///< of the dispatcher's jobs
+    /// Of the session with the server; rises from session to session.
+    std::uint64_t number = 0;
 };
 
 using held_servers = std::map<std::string, held_server>; ///< by id
--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -55,12 +55,52 @@
     const auto at = this->servers.find(info.id);
     if (at == this->servers.end())
     {
-        this->servers.emplace(info.id, held_server{server_record(info), {}});
+        this->servers.emplace(info.id, held_server{server_record(info), {}, 0});
         return;
     }
     at->second.record.set_info(info);
 }
 
+void pool_dispatcher::set_server_number(const std::string& id,
+                                        std::uint64_t number)
+{
+    if (held_server* server = this->find_server(id))
+    {
+        server->number = number;
+    }
+}
+
+void pool_dispatcher::set_seen_number(std::uint64_t instance,
+                                      std::uint64_t number)
+{
+    std::uint64_t& seen = this->seen_numbers[instance];
+    seen = std::max(seen, number);
+}
+
+std::uint64_t pool_dispatcher::seen_number(std::uint64_t instance) const
+{
+    const auto at = this->seen_numbers.find(instance);
+    return at == this->seen_numbers.end()
+               ? std::numeric_limits<std::uint64_t>::max()
+               : at->second;
+}
+
+bool pool_dispatcher::has_unseen_runs(const pooled_job& job,
+                                      std::uint64_t instance) const
+{
+    const std::uint64_t seen = this->seen_number(instance);
+    return std::any_of(this->servers.begin(), this->servers.end(),
+                       [&job, seen](const auto& entry)
+                       {
+                           const held_server& server = entry.second;
+                           return server.number > seen &&
+                                  std::any_of(server.runs.begin(),
+                                              server.runs.end(),
+                                              [&job](const task_ref& ref)
+                                              { return ref.job == &job; });
+                       });
+}
+
 void pool_dispatcher::remove_server(const std::string& id, instant now)
 {
     this->on_all_runs_ended(id, now);
@@ -121,6 +161,16 @@
     if (at != this->jobs.end())
     {
         job = at->second.get();
+        if (this->has_unseen_runs(*job, origin.instance))
+        {
+            // If this instance were lost now, the other one would not wait for
+            // these runs before it starts the job elsewhere.
+            this->listener.job_ended(origin,
+                                     {job_outcome::incomplete,
+                                      "runs on a new server", min_retry_after},
+                                     job->report(now));
+            return;
+        }
         if (!job->answered)
         {
             // The connection of the caller's earlier attempt was closed. The
@@ -235,7 +285,8 @@
                 continue;
             }
             held_server* server = this->chooser.choose(
-                this->servers, job, task, job.request.steps[step], now);
+                this->servers, job, task, job.request.steps[step],
+                this->seen_number(job.origin.instance), now);
             if (server == nullptr)
             {
                 break;
@@ -581,6 +632,7 @@
 void pool_dispatcher::cancel_origin(std::uint64_t instance,
                                     std::string_view reason, instant now)
 {
+    this->seen_numbers.erase(instance);
     std::vector<std::string> ids;
     for (const auto& [id, job] : this->jobs)
     {
--- a/src/libjujubedrum/dispatch/pool_dispatcher.hpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.hpp
@@ -65,6 +65,13 @@
                     job_listener& results);
 
     void set_server(const server_info& info);
+    /// Sets the number of the session with the server. Jobs of an instance that
+    /// counts sessions are started there once it has seen the number.
+    void set_server_number(const std::string& id, std::uint64_t number);
+    /// Records that an accepting instance has seen the sessions up to this
+    /// number, so that it waits for their servers if this instance is lost.
+    /// Instances of earlier versions never report one and are not waited for.
+    void set_seen_number(std::uint64_t instance, std::uint64_t number);
     /// Removes a server. Call it once no run started here can be on it.
     void remove_server(const std::string& id, instant now);
     /// Removes a server that another holder has taken. That holder stops the
@@ -83,7 +90,8 @@
     /// Cancels a job unless a later attempt than this one waits for it.
     void cancel_attempt(const std::string& job, const job_origin& attempt,
                         std::string_view reason, instant now);
-    /// Cancels the open jobs that an instance submitted.
+    /// Cancels the open jobs that an instance submitted, and forgets what it
+    /// has seen.
     void cancel_origin(std::uint64_t instance, std::string_view reason,
                        instant now);
 
@@ -150,6 +158,13 @@
     void finish(pooled_job& job, job_outcome outcome, std::string reason,
                 milliseconds retry_after, instant now);
     void erase_if_finished(pooled_job& job);
+    /// Returns the highest number of a server that jobs of the instance may
+    /// use.
+    [[nodiscard]] std::uint64_t seen_number(std::uint64_t instance) const;
+    /// Returns whether a task of the job may be on a server of which the
+    /// instance does not know.
+    [[nodiscard]] bool has_unseen_runs(const pooled_job& job,
+                                       std::uint64_t instance) const;
     [[nodiscard]] bool has_suitable_servers(const pooled_job& job,
                                             instant now) const;
     /// Returns the estimated wait of a job behind the queued ones that have to
@@ -165,6 +180,7 @@
     job_listener& listener;
     server_chooser chooser;
     held_servers servers;
+    std::map<std::uint64_t, std::uint64_t> seen_numbers; ///< by instance
     std::unordered_map<std::string, std::unique_ptr<pooled_job>> jobs;
     /// Jobs with waiting tasks, by latest start and then by submission.
     std::map<queue_key, pooled_job*> queue;
--- a/src/libjujubedrum/dispatch/pool_election.hpp
+++ b/src/libjujubedrum/dispatch/pool_election.hpp
@@ -69,6 +69,9 @@
     /// since they have no entry or a new one.
     std::vector<std::string> unlisted_servers = {};
     std::uint32_t link_kbps = 0; ///< rate of its network link; 0: not limited
+    /// Number of its last session with a server; the lists in `holds` cover the
+    /// sessions up to it. 0 if it is of a version that does not count them.
+    std::uint64_t server_number = 0;
 
     bool operator==(const instance_view&) const = default;
 };
--- a/src/libjujubedrum/dispatch/server_chooser.cpp
+++ b/src/libjujubedrum/dispatch/server_chooser.cpp
@@ -59,14 +59,15 @@
 held_server* server_chooser::choose(held_servers& servers,
                                     const pooled_job& job,
                                     const pooled_task& task,
-                                    const job_step& step, instant now) const
+                                    const job_step& step,
+                                    std::uint64_t max_number, instant now) const
 {
     held_server* best = nullptr;
     double best_ms = std::numeric_limits<double>::max();
     double fastest_ms = std::numeric_limits<double>::max();
     for (auto& [id, server] : servers)
     {
-        if (!is_eligible(server, job, step, now))
+        if (server.number > max_number || !is_eligible(server, job, step, now))
         {
             continue;
         }
--- a/src/libjujubedrum/dispatch/server_chooser.hpp
+++ b/src/libjujubedrum/dispatch/server_chooser.hpp
@@ -3,6 +3,8 @@
 #include "base/time.hpp"
 #include "dispatch/held_server.hpp"
 
+#include <cstdint>
+
 namespace jujubedrum
 {
 
@@ -19,10 +21,12 @@
 
     /// Returns null if no suitable server has enough free capacity, or if only
     /// one that is busy now can still meet the objective.
-    [[nodiscard]] held_server* choose(held_servers& servers,
-                                      const pooled_job& job,
-                                      const pooled_task& task,
-                                      const job_step& step, instant now) const;
+    /// \param max_number servers with a higher number are left out, as the
+    /// accepting instance does not know that the job may run there.
+    [[nodiscard]] held_server*
+    choose(held_servers& servers, const pooled_job& job,
+           const pooled_task& task, const job_step& step,
+           std::uint64_t max_number, instant now) const;
     /// Returns the expected run time of a task in milliseconds.
     [[nodiscard]] double expected_ms(const server_record& server,
                                      const job_step& step) const;
--- a/src/libruntime/node/dispatch.capnp
+++ b/src/libruntime/node/dispatch.capnp
@@ -26,6 +26,7 @@
   unlistedServers @8 :List(Text);
   linkKbps @9 :UInt32;
   acceptsAlive @10 :Bool;
+  serverNumber @11 :UInt64;  # 0 in messages of earlier versions
 }
 
 # A heartbeat of an instance whose Hello is still valid but for these fields.
@@ -66,6 +67,7 @@
   targetMs @8 :UInt32;
   timeLeftMs @9 :UInt32;
   waitedMs @10 :UInt32;
+  seenServerNumber @11 :UInt64;  # 0 in messages of earlier versions
 }
 
 struct Result {
@@ -86,6 +88,12 @@
   servers @0 :List(Text);
 }
 
+# Confirms the server number of the last Hello. Sent only to peers that send
+# one.
+struct Seen {
+  serverNumber @0 :UInt64;
+}
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -94,5 +102,6 @@
     cancel @3 :Cancel;
     release @4 :Release;
     alive @5 :Alive;
+    seen @6 :Seen;
   }
 }
--- a/src/libruntime/node/dispatch.capnp.h
+++ b/src/libruntime/node/dispatch.capnp.h
@@ -25,6 +25,7 @@
 CAPNP_DECLARE_SCHEMA(c5dbe68db8f2b8ef);
 CAPNP_DECLARE_SCHEMA(82ec048440570a08);
 CAPNP_DECLARE_SCHEMA(bde62f4d5716509a);
+CAPNP_DECLARE_SCHEMA(84e0dc0704ef15ea);
 CAPNP_DECLARE_SCHEMA(ff0d3a1960dd2971);
 
 }  // namespace schemas
@@ -56,7 +57,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c4b0bf11dac93599, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(c4b0bf11dac93599, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -116,7 +117,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d91878d08c42f92e, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d91878d08c42f92e, 6, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -168,6 +169,21 @@
   };
 };
 
+struct Seen {
+  Seen() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(84e0dc0704ef15ea, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Message {
   Message() = delete;
 
@@ -181,6 +197,7 @@
     CANCEL,
     RELEASE,
     ALIVE,
+    SEEN,
   };
 
   struct _capnpPrivate {
@@ -349,6 +366,8 @@
 
   inline bool getAcceptsAlive() const;
 
+  inline  ::uint64_t getServerNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -431,6 +450,9 @@
   inline bool getAcceptsAlive();
   inline void setAcceptsAlive(bool value);
 
+  inline  ::uint64_t getServerNumber();
+  inline void setServerNumber( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -811,6 +833,8 @@
 
   inline  ::uint32_t getWaitedMs() const;
 
+  inline  ::uint64_t getSeenServerNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -888,6 +912,9 @@
   inline  ::uint32_t getWaitedMs();
   inline void setWaitedMs( ::uint32_t value);
 
+  inline  ::uint64_t getSeenServerNumber();
+  inline void setSeenServerNumber( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1199,6 +1226,82 @@
 };
 #endif  // !CAPNP_LITE
 
+class Seen::Reader {
+public:
+  typedef Seen Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getServerNumber() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Seen::Builder {
+public:
+  typedef Seen Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getServerNumber();
+  inline void setServerNumber( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Seen::Pipeline {
+public:
+  typedef Seen Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Message::Reader {
 public:
   typedef Message Reads;
@@ -1241,6 +1344,10 @@
   inline bool hasAlive() const;
   inline  ::jujubedrum::dispatch_wire::Alive::Reader getAlive() const;
 
+  inline bool isSeen() const;
+  inline bool hasSeen() const;
+  inline  ::jujubedrum::dispatch_wire::Seen::Reader getSeen() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1318,6 +1425,14 @@
   inline void adoptAlive(::capnp::Orphan< ::jujubedrum::dispatch_wire::Alive>&& value);
   inline ::capnp::Orphan< ::jujubedrum::dispatch_wire::Alive> disownAlive();
 
+  inline bool isSeen();
+  inline bool hasSeen();
+  inline  ::jujubedrum::dispatch_wire::Seen::Builder getSeen();
+  inline void setSeen( ::jujubedrum::dispatch_wire::Seen::Reader value);
+  inline  ::jujubedrum::dispatch_wire::Seen::Builder initSeen();
+  inline void adoptSeen(::capnp::Orphan< ::jujubedrum::dispatch_wire::Seen>&& value);
+  inline ::capnp::Orphan< ::jujubedrum::dispatch_wire::Seen> disownSeen();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1737,6 +1852,20 @@
       ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Hello::Reader::getServerNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Hello::Builder::getServerNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setServerNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Alive::Reader::hasLoad() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2270,6 +2399,20 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Submit::Reader::getSeenServerNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Submit::Builder::getSeenServerNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Submit::Builder::setSeenServerNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Result::Reader::getTicket() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2505,6 +2648,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Seen::Reader::getServerNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Seen::Builder::getServerNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Seen::Builder::setServerNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::jujubedrum::dispatch_wire::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2838,6 +2995,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isSeen() const {
+  return which() == Message::SEEN;
+}
+inline bool Message::Builder::isSeen() {
+  return which() == Message::SEEN;
+}
+inline bool Message::Reader::hasSeen() const {
+  if (which() != Message::SEEN) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasSeen() {
+  if (which() != Message::SEEN) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::jujubedrum::dispatch_wire::Seen::Reader Message::Reader::getSeen() const {
+  KJ_IREQUIRE((which() == Message::SEEN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Seen>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::jujubedrum::dispatch_wire::Seen::Builder Message::Builder::getSeen() {
+  KJ_IREQUIRE((which() == Message::SEEN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Seen>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setSeen( ::jujubedrum::dispatch_wire::Seen::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SEEN);
+  ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Seen>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::jujubedrum::dispatch_wire::Seen::Builder Message::Builder::initSeen() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SEEN);
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Seen>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptSeen(
+    ::capnp::Orphan< ::jujubedrum::dispatch_wire::Seen>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SEEN);
+  ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Seen>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::jujubedrum::dispatch_wire::Seen> Message::Builder::disownSeen() {
+  KJ_IREQUIRE((which() == Message::SEEN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Seen>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -3,6 +3,7 @@
 #include "logging.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -164,7 +165,13 @@
                   << " domain=" << heartbeat.instance.domain
                   << " boot=" << heartbeat.instance.boot;
     }
-    this->peers[link] = heartbeat;
+    const std::uint64_t earlier_number =
+        std::exchange(this->peers[link], heartbeat).instance.server_number;
+    if (heartbeat.instance.server_number != earlier_number &&
+        this->router.links_with_open_jobs().count(link) > 0)
+    {
+        this->mesh.send(link, seen_message{heartbeat.instance.server_number});
+    }
     this->pools.on_heartbeat(heartbeat.instance, added);
 }
 
@@ -174,6 +181,11 @@
     if (const auto* submitted = std::get_if<submit_message>(&message))
     {
         const std::string& id = submitted->request.id;
+        if (submitted->seen_server_number != 0)
+        {
+            this->dispatcher.set_seen_number(link,
+                                             submitted->seen_server_number);
+        }
         if (this->draining && !this->dispatcher.is_open(id))
         {
             // After a refusal another holder may start the job at once.
@@ -213,6 +225,12 @@
                                         cancelled->reason, event_loop::now());
         return;
     }
+    if (const auto* seen = std::get_if<seen_message>(&message))
+    {
+        this->dispatcher.set_seen_number(link, seen->server_number);
+        this->dispatcher.pump(event_loop::now());
+        return;
+    }
     if (const auto* released = std::get_if<release_message>(&message))
     {
         this->pools.on_release(link, *released);
@@ -310,6 +328,12 @@
     this->loop.after(election_interval, [this] { this->on_election_timer(); });
     this->pools.tick();
     this->refresh_heartbeat();
+    // Other instances' jobs use new servers only after they have seen them.
+    if (this->sent_server_number != this->pools.server_number())
+    {
+        this->sent_server_number = this->pools.server_number();
+        this->mesh.send_heartbeat();
+    }
 }
 
 void dispatch_node::drain()
--- a/src/libruntime/node/dispatch_node.hpp
+++ b/src/libruntime/node/dispatch_node.hpp
@@ -103,6 +103,8 @@
     pool_dispatcher dispatcher;
     peer_mesh mesh;
     job_router router;
+    /// `instance_view::server_number` that was last sent at once.
+    std::uint64_t sent_server_number = 0;
     bool draining = false;
     bool stopped = false;
 };
--- a/src/libruntime/node/job_router.cpp
+++ b/src/libruntime/node/job_router.cpp
@@ -292,8 +292,13 @@
         this->dispatcher.submit(request, terms, {0, ticket}, event_loop::now());
         return;
     }
-    this->mesh.send(job.link, submit_message{ticket, job.request,
-                                             this->remaining_terms(job)});
+    const auto peer = this->peers.find(job.link);
+    this->mesh.send(job.link,
+                    submit_message{ticket, job.request,
+                                   this->remaining_terms(job),
+                                   peer == this->peers.end()
+                                       ? 0
+                                       : peer->second.instance.server_number});
 }
 
 void job_router::defer_or_refuse(std::uint64_t ticket, const open_job& job)
--- a/src/libruntime/node/peer_message.cpp
+++ b/src/libruntime/node/peer_message.cpp
@@ -88,6 +88,7 @@
     put_load(out.initLoad(), in.load);
     out.setIntervalMs(static_cast<std::uint32_t>(in.interval.count()));
     out.setAcceptsAlive(in.accepts_alive);
+    out.setServerNumber(in.instance.server_number);
 }
 
 heartbeat_message get_heartbeat(Hello::Reader in)
@@ -113,6 +114,7 @@
     out.load = get_load(in.getLoad());
     out.interval = milliseconds(in.getIntervalMs());
     out.accepts_alive = in.getAcceptsAlive();
+    out.instance.server_number = in.getServerNumber();
     return out;
 }
 
@@ -166,6 +168,7 @@
     out.setTargetMs(static_cast<std::uint32_t>(in.terms.target.count()));
     out.setTimeLeftMs(static_cast<std::uint32_t>(in.terms.time_left.count()));
     out.setWaitedMs(static_cast<std::uint32_t>(in.terms.waited.count()));
+    out.setSeenServerNumber(in.seen_server_number);
 }
 
 submit_message get_submit(Submit::Reader in)
@@ -185,6 +188,7 @@
     out.terms.target = milliseconds(in.getTargetMs());
     out.terms.time_left = milliseconds(in.getTimeLeftMs());
     out.terms.waited = milliseconds(in.getWaitedMs());
+    out.seen_server_number = in.getSeenServerNumber();
     return out;
 }
 
@@ -238,6 +242,10 @@
         put_load(alive.initLoad(), in.load);
         alive.setIntervalMs(static_cast<std::uint32_t>(in.interval.count()));
     }
+    void operator()(const seen_message& in)
+    {
+        this->out.initSeen().setServerNumber(in.server_number);
+    }
     void operator()(const release_message& in)
     {
         auto servers = this->out.initRelease().initServers(
@@ -266,6 +274,8 @@
     case Message::ALIVE:
         return alive_message{get_load(in.getAlive().getLoad()),
                              milliseconds(in.getAlive().getIntervalMs())};
+    case Message::SEEN:
+        return seen_message{in.getSeen().getServerNumber()};
     case Message::RELEASE:
     {
         release_message out;
--- a/src/libruntime/node/peer_message.hpp
+++ b/src/libruntime/node/peer_message.hpp
@@ -38,6 +38,9 @@
     std::uint64_t ticket = 0;
     job_request request;
     job_terms terms;
+    /// `instance_view::server_number` that the sender has last seen of the
+    /// holder; 0 in messages of earlier versions.
+    std::uint64_t seen_server_number = 0;
     bool operator==(const submit_message&) const = default;
 };
 
@@ -68,9 +71,17 @@
     bool operator==(const release_message&) const = default;
 };
 
+/// Confirms the server number of the last `heartbeat_message`, so that the
+/// holder uses the new servers for open jobs of the sender.
+struct seen_message
+{
+    std::uint64_t server_number = 0;
+    bool operator==(const seen_message&) const = default;
+};
+
 using dispatch_message =
     std::variant<heartbeat_message, submit_message, result_message,
-                 cancel_message, release_message, alive_message>;
+                 cancel_message, release_message, alive_message, seen_message>;
 
 /// Returns the encoded message, preceded by its length in four bytes, least
 /// significant first.
--- a/src/libruntime/node/pool_manager.cpp
+++ b/src/libruntime/node/pool_manager.cpp
@@ -206,6 +206,7 @@
     view.cpu = this->settings.cpu();
     view.link_kbps = this->settings.link_kbps();
     view.draining = this->draining;
+    view.server_number = this->last_server_number;
     for (const auto& [pool, hold] : this->held)
     {
         view.holds.push_back({pool, hold.token, this->is_clean(pool),
@@ -660,6 +661,7 @@
 void pool_manager::open_session(const server_info& info, std::uint64_t token)
 {
     this->dispatcher.set_server(info);
+    this->dispatcher.set_server_number(info.id, ++this->last_server_number);
     lease_options lease;
     lease.max_lease = this->settings.max_lease();
     const pool_id pool = pool_of(info);
--- a/src/libruntime/node/pool_manager.hpp
+++ b/src/libruntime/node/pool_manager.hpp
@@ -90,6 +90,11 @@
     {
         return this->held;
     }
+    /// Returns the number of the last session with a server, from 1 on.
+    [[nodiscard]] std::uint64_t server_number() const
+    {
+        return this->last_server_number;
+    }
     [[nodiscard]] std::size_t servers_known() const
     {
         return this->servers.size();
@@ -199,6 +204,8 @@
     /// When an instance of each failure domain was last alive.
     std::map<std::string, instant> last_instance_contact;
     std::map<std::string, entry_activity> domain_activity;
+    /// Begins at 1, since 0 stands for a version that does not count them.
+    std::uint64_t last_server_number = 1;
     bool draining = false;
     bool stopped = false;
     bool store_reachable = false;
--- a/standins/users/log_store_standin.cpp
+++ b/standins/users/log_store_standin.cpp
@@ -104,7 +104,10 @@
     , second_server(events, "X-None",
                     [this](const http_request& request, const auto& responder)
                     {
-                        if (!this->second_unresponsive)
+                        const bool list = parameter(request.target, "topic") ==
+                                          "keyed.servers";
+                        if (!this->second_unresponsive &&
+                            !(list && this->second_server_list_unresponsive))
                         {
                             this->serve(request, responder);
                         }
--- a/standins/users/log_store_standin.hpp
+++ b/standins/users/log_store_standin.hpp
@@ -54,6 +54,12 @@
     void set_page_size(std::size_t keys) { this->page_size = keys; }
     /// Delays the replies to reads of the newest records.
     void set_newest_delay(milliseconds delay) { this->newest_delay = delay; }
+    /// While set, reads of the list of servers at the second address get no
+    /// reply.
+    void set_second_server_list_unresponsive(bool value)
+    {
+        this->second_server_list_unresponsive = value;
+    }
     /// Drops the records of all topics but keeps the newest value of each key.
     void compact();
     /// Returns the number of requests received.
@@ -102,6 +108,7 @@
     http_server server;
     http_server second_server;
     bool second_unresponsive = false;
+    bool second_server_list_unresponsive = false;
     std::map<std::string, topic> topics;
     std::vector<waiting_read> reads;
     fault active_fault = fault::none;
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -261,6 +261,34 @@
     BOOST_TEST(this->record.violations().empty());
 }
 
+// Guards against a start on a server of which the accepting instance does not
+// know yet: the holder is lost before its next heartbeat, and nobody asks its
+// successor for that server.
+BOOST_AUTO_TEST_CASE(holder_killed_before_heartbeat_new_server_runs_once)
+{
+    this->add_server("s1", "d1");
+    this->start_node("a", "d1");
+    this->start_node_on_second_store("b", "d1");
+    this->start_node("c", "d2");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["b"]->node().ready(); }));
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["c"]->node().ready(); }));
+    this->store.set_second_server_list_unresponsive(true);
+    this->servers["s1"]->set_full(true);
+    this->submit("c", "0000000000000001", 1, 2500);
+    this->run_for(milliseconds(100));
+    this->add_server("s3", "d2");
+    BOOST_REQUIRE(this->wait_for_servers("c", 1));
+    this->add_server("s2", "d1");
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    this->nodes.erase("a");
+    BOOST_REQUIRE(this->wait([&] { return this->holds_all_pools("b"); }));
+    this->run_for(milliseconds(1500));
+    this->store.set_second_server_list_unresponsive(false);
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_TEST(this->record.violations().empty());
+}
+
 // Guards against waiting for the caller's limit where the successor has taken
 // over every server of the killed holder without the store.
 BOOST_AUTO_TEST_CASE(holder_killed_store_down_job_runs_again)
--- a/tests/unit/dispatch/peer_message_test.cpp
+++ b/tests/unit/dispatch/peer_message_test.cpp
@@ -41,6 +41,7 @@
     message.request.steps[1].after = {0};
     message.terms = {"service",         2, 3, 1.6, milliseconds(60),
                      milliseconds(1500)};
+    message.seen_server_number = 1UL << 40U;
     BOOST_CHECK(copy_of(message) == dispatch_message(message));
 }
 
@@ -53,14 +54,17 @@
         {{"d1", 2}, 8192, true, std::vector<std::uint64_t>{3, 1UL << 63U}});
     heartbeat.instance.holds.push_back(
         {{"d1", 1}, 8192, true, std::vector<std::uint64_t>{}});
+    heartbeat.instance.server_number = 12;
     heartbeat.load = {100, 50, 25, 12.5};
     heartbeat.interval = milliseconds(360);
     const std::vector<dispatch_message> messages{
         heartbeat,
         result_message{
             5, {job_outcome::refused, "busy", milliseconds(200)}, {1, 2, 3, 4}},
-        cancel_message{"id", "left", 7}, release_message{{"s1", "s2"}},
-        alive_message{{1, 2, 3, 4}, milliseconds(100)}};
+        cancel_message{"id", "left", 7},
+        release_message{{"s1", "s2"}},
+        alive_message{{1, 2, 3, 4}, milliseconds(100)},
+        seen_message{12}};
     for (const dispatch_message& message : messages)
     {
         BOOST_CHECK(copy_of(message) == message);
--- a/tests/unit/dispatch/pool_dispatcher_test.cpp
+++ b/tests/unit/dispatch/pool_dispatcher_test.cpp
@@ -47,6 +47,52 @@
     BOOST_TEST(this->starts.size() == 3);
 }
 
+// Guards against runs on a server that the accepting instance does not know of:
+// it would not wait for them after the loss of this holder.
+BOOST_AUTO_TEST_CASE(server_not_seen_by_accepting_instance_is_not_used)
+{
+    this->add_server("s1");
+    this->dispatcher.set_server_number("s1", 4);
+    this->dispatcher.set_seen_number(5, 3);
+    this->dispatcher.submit(make_job("a", 1), make_terms(), {5, 1}, this->now);
+    this->dispatcher.pump(this->now);
+    BOOST_TEST(this->starts.empty());
+    BOOST_TEST(this->ended.empty());
+    // Local jobs, and those of instances that report nothing, are not limited.
+    this->dispatcher.submit(make_job("b", 1), make_terms(), {0, 2}, this->now);
+    BOOST_TEST(this->starts.size() == 1);
+    this->dispatcher.submit(make_job("c", 1), make_terms(), {6, 3}, this->now);
+    BOOST_TEST(this->starts.size() == 2);
+    this->accept_all();
+    this->end_run("s1", this->starts[0].second);
+    this->dispatcher.set_seen_number(5, 4);
+    this->dispatcher.set_seen_number(5, 3); // overtaken
+    this->dispatcher.pump(this->now);
+    BOOST_REQUIRE_EQUAL(this->starts.size(), 3);
+    BOOST_TEST(this->starts[2].second.task.job == "a");
+}
+
+// Guards against a job whose later attempt is accepted by an instance that does
+// not know of the servers on which the job runs already.
+BOOST_AUTO_TEST_CASE(job_submitted_again_runs_not_seen_is_incomplete)
+{
+    this->add_server("s1");
+    this->dispatcher.set_server_number("s1", 4);
+    this->dispatcher.set_seen_number(5, 4);
+    this->dispatcher.set_seen_number(6, 3);
+    this->dispatcher.submit(make_job("a", 1), make_terms(), {5, 1}, this->now);
+    BOOST_REQUIRE_EQUAL(this->starts.size(), 1);
+    this->accept_all();
+    this->dispatcher.submit(make_job("a", 1), make_terms(), {6, 2}, this->now);
+    BOOST_REQUIRE_EQUAL(this->ended.size(), 1);
+    BOOST_CHECK(this->ended[0].origin == (job_origin{6, 2}));
+    BOOST_CHECK(this->ended[0].result.outcome == job_outcome::incomplete);
+    this->end_run("s1", this->starts[0].second);
+    BOOST_REQUIRE_EQUAL(this->ended.size(), 2);
+    BOOST_CHECK(this->ended[1].origin == (job_origin{5, 1}));
+    BOOST_CHECK(this->ended[1].result.outcome == job_outcome::completed);
+}
+
 // Guards against a holder that reports no capacity: the mean size of tasks
 // counted a job that fits no server, so no remainder seemed large enough for a
 // task, and no job was sent to the holder again.
