--- a/src/libruntime/node/dispatch_node.hpp
+++ b/src/libruntime/node/dispatch_node.hpp
@@ -113,6 +113,8 @@
     result_cache ended_jobs;
     peer_mesh mesh;
     job_router router;
+    /// `instance_view::server_number` that was last sent at once.
+    std::uint64_t sent_server_number = 0;
     bool draining = false;
     bool stopped = false;
 };
--- a/src/libruntime/node/peer_message.cpp
+++ b/src/libruntime/node/peer_message.cpp
@@ -2,7 +2,7 @@
 
 #include "node/dispatch.capnp.h"
 
-#include <array>
+#include <algorithm>
 #include <cstring>
 
 #include <capnp/message.h>
@@ -32,6 +32,36 @@
             in.getMeanRunMs()};
 }
 
+void put_servers(PoolHold::Builder out, const pool_hold& in)
+{
+    if (!in.servers)
+    {
+        return;
+    }
+    out.setListsServers(true);
+    auto servers = out.initServers(static_cast<unsigned>(in.servers->size()));
+    for (unsigned i = 0; i < servers.size(); ++i)
+    {
+        servers.set(i, (*in.servers)[i]);
+    }
+}
+
+std::optional<std::vector<std::uint64_t>> get_servers(PoolHold::Reader in)
+{
+    if (!in.getListsServers())
+    {
+        return std::nullopt;
+    }
+    std::vector<std::uint64_t> out;
+    for (const std::uint64_t server : in.getServers())
+    {
+        out.push_back(server);
+    }
+    // Comparisons rely on the order, and the sender may have broken it.
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
 void put_heartbeat(Hello::Builder out, const heartbeat_message& in)
 {
     out.setName(in.instance.name);
@@ -47,6 +77,7 @@
         pools[i].setShard(in.instance.holds[i].pool.shard);
         pools[i].setToken(in.instance.holds[i].token);
         pools[i].setClean(in.instance.holds[i].clean);
+        put_servers(pools[i], in.instance.holds[i]);
     }
     auto unlisted = out.initUnlistedServers(
         static_cast<unsigned>(in.instance.unlisted_servers.size()));
@@ -57,6 +88,7 @@
     put_load(out.initLoad(), in.load);
     out.setIntervalMs(static_cast<std::uint32_t>(in.interval.count()));
     out.setAcceptsAlive(in.accepts_alive);
+    out.setServerNumber(in.instance.server_number);
 }
 
 heartbeat_message get_heartbeat(Hello::Reader in)
@@ -72,7 +104,8 @@
     {
         out.instance.holds.push_back({{hold.getDomain(), hold.getShard()},
                                       hold.getToken(),
-                                      hold.getClean()});
+                                      hold.getClean(),
+                                      get_servers(hold)});
     }
     for (const auto server : in.getUnlistedServers())
     {
@@ -81,6 +114,7 @@
     out.load = get_load(in.getLoad());
     out.interval = milliseconds(in.getIntervalMs());
     out.accepts_alive = in.getAcceptsAlive();
+    out.instance.server_number = in.getServerNumber();
     return out;
 }
 
@@ -134,6 +168,7 @@
     out.setTargetMs(static_cast<std::uint32_t>(in.terms.target.count()));
     out.setTimeLeftMs(static_cast<std::uint32_t>(in.terms.time_left.count()));
     out.setWaitedMs(static_cast<std::uint32_t>(in.terms.waited.count()));
+    out.setSeenServerNumber(in.seen_server_number);
 }
 
 submit_message get_submit(Submit::Reader in)
@@ -153,6 +188,7 @@
     out.terms.target = milliseconds(in.getTargetMs());
     out.terms.time_left = milliseconds(in.getTimeLeftMs());
     out.terms.waited = milliseconds(in.getWaitedMs());
+    out.seen_server_number = in.getSeenServerNumber();
     return out;
 }
 
@@ -206,6 +242,10 @@
         put_load(alive.initLoad(), in.load);
         alive.setIntervalMs(static_cast<std::uint32_t>(in.interval.count()));
     }
+    void operator()(const seen_message& in)
+    {
+        this->out.initSeen().setServerNumber(in.server_number);
+    }
     void operator()(const release_message& in)
     {
         auto servers = this->out.initRelease().initServers(
@@ -234,6 +274,8 @@
     case Message::ALIVE:
         return alive_message{get_load(in.getAlive().getLoad()),
                              milliseconds(in.getAlive().getIntervalMs())};
+    case Message::SEEN:
+        return seen_message{in.getSeen().getServerNumber()};
     case Message::RELEASE:
     {
         release_message out;
--- a/src/libruntime/node/pool_manager.cpp
+++ b/src/libruntime/node/pool_manager.cpp
@@ -206,9 +206,11 @@
     view.cpu = this->settings.cpu();
     view.link_kbps = this->settings.link_kbps();
     view.draining = this->draining;
+    view.server_number = this->last_server_number;
     for (const auto& [pool, hold] : this->held)
     {
-        view.holds.push_back({pool, hold.token, this->is_clean(pool)});
+        view.holds.push_back({pool, hold.token, this->is_clean(pool),
+                              this->listed_servers(pool)});
     }
     for (const auto& [id, session] : this->sessions)
     {
@@ -220,6 +222,22 @@
     return view;
 }
 
+std::vector<std::uint64_t>
+pool_manager::listed_servers(const pool_id& pool) const
+{
+    std::vector<std::uint64_t> hashes;
+    for (const auto& [id, session] : this->sessions)
+    {
+        const auto at = this->servers.find(id);
+        if (at != this->servers.end() && pool_of(at->second.info) == pool)
+        {
+            hashes.push_back(hash_of(id));
+        }
+    }
+    std::sort(hashes.begin(), hashes.end());
+    return hashes;
+}
+
 bool pool_manager::is_unlisted(const std::string& server) const
 {
     const auto at = this->servers.find(server);
@@ -643,6 +661,7 @@
 void pool_manager::open_session(const server_info& info, std::uint64_t token)
 {
     this->dispatcher.set_server(info);
+    this->dispatcher.set_server_number(info.id, ++this->last_server_number);
     lease_options lease;
     lease.max_lease = this->settings.max_lease();
     const pool_id pool = pool_of(info);
