Don't send a call whose time is over

A call of http_client that waited for a connection past its time-out was sent all the same once a connection was free, and only then timed out; its result came no earlier either. So did a call whose connection was established while the process was frozen.

Cause: only a connection had a timer, from the moment at which it got the call, and nothing compared the deadline with the time before the write. A waiting call now has a timer of its own, dispatch() drops expired calls first, and a connection that is established too late does not send. As the request was never written, not_sent is exact.

Ruled out by test and by reading: the content of a late reply is acted on by nobody (late_reply_content_is_dropped; on_reply returns before it builds a reply if the call has timed out, and takes only a sample of the round trip); a call that has been reported is never sent afterwards, since it has left the queue or its connection.

--- a/src/libruntime/node/http_client.cpp
+++ b/src/libruntime/node/http_client.cpp
@@ -123,11 +123,12 @@
             return;
         }
         set_socket_options(this->socket);
-        if (this->current)
+        if (this->current && event_loop::now() < this->current->deadline)
         {
             this->send();
             return;
         }
+        this->on_timeout();
         this->on_late();
     }
 
@@ -239,16 +240,9 @@
 
     void report(const callback& done, const std::string& why)
     {
-        const http_result result =
-            this->sent ? http_result::no_reply : http_result::not_sent;
-        asio::post(this->owner->loop.context(),
-                   [client = this->owner, done, result, why]
-                   {
-                       if (!client->closed)
-                       {
-                           done({result, 0, "", why});
-                       }
-                   });
+        this->owner->report(
+            done, this->sent ? http_result::no_reply : http_result::not_sent,
+            why);
     }
 
     void cancel_timers()
@@ -299,10 +293,51 @@
     const instant deadline = event_loop::now() + request.timeout;
     this->waiting.push_back({std::move(request), std::move(done), deadline});
     this->dispatch();
+    if (!this->waiting.empty())
+    {
+        this->loop.after(deadline - event_loop::now(),
+                         [self = this->weak_from_this()]
+                         {
+                             if (const auto held = self.lock())
+                             {
+                                 held->expire_waiting();
+                             }
+                         });
+    }
+}
+
+void http_client::expire_waiting()
+{
+    const instant now = event_loop::now();
+    std::erase_if(this->waiting,
+                  [this, now](const pending_call& call)
+                  {
+                      const bool expired = call.deadline <= now;
+                      if (expired)
+                      {
+                          this->report(call.done, http_result::not_sent,
+                                       "timeout");
+                      }
+                      return expired;
+                  });
+}
+
+void http_client::report(const callback& done, http_result result,
+                         const std::string& why)
+{
+    asio::post(this->loop.context(),
+               [client = this->shared_from_this(), done, result, why]
+               {
+                   if (!client->closed)
+                   {
+                       done({result, 0, "", why});
+                   }
+               });
 }
 
 void http_client::dispatch()
 {
+    this->expire_waiting();
     while (!this->closed && !this->waiting.empty())
     {
         std::shared_ptr<connection> conn;
--- a/src/libruntime/node/http_client.hpp
+++ b/src/libruntime/node/http_client.hpp
@@ -49,8 +49,8 @@
 
 /// HTTP/1.1 client of one server, on the event loop. It keeps connections open
 /// and opens a further one, up to a maximum, only while all are in use. Calls
-/// beyond the maximum wait, which counts towards their time-out. It does not
-/// retry.
+/// beyond the maximum wait, which counts towards their time-out; a call whose
+/// time is over before it could be sent is not sent. It does not retry.
 ///
 /// A connection whose call timed out stays open for a while. If the link is
 /// only full, its handshake or reply still arrives, and the connection serves
@@ -98,6 +98,11 @@
     http_client(event_loop& loop, std::string address, std::uint16_t port,
                 std::size_t max_connections);
     void dispatch();
+    /// Completes the waiting calls whose time is over as not sent.
+    void expire_waiting();
+    /// Calls back later with a result without a reply, unless closed by then.
+    void report(const callback& done, http_result result,
+                const std::string& why);
     void release_connection(const std::shared_ptr<connection>& conn,
                             bool reusable);
     /// Keeps a connection whose call timed out until its late reply.
--- a/tests/unit/dispatch/http_client_test.cpp
+++ b/tests/unit/dispatch/http_client_test.cpp
@@ -5,7 +5,9 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace jujubedrum
@@ -18,6 +20,7 @@
 constexpr milliseconds wait_timeout{20000};
 constexpr milliseconds call_timeout{50};
 constexpr milliseconds max_timeout{250};
+constexpr std::size_t max_connections = 2;
 
 /// A client, and a server whose replies are sent by the test.
 struct http_client_fixture
@@ -29,8 +32,8 @@
         limits.header_bytes = 1024;
         limits.body_bytes = 4096;
         this->server.set_limits(limits);
-        this->client = http_client::create(this->loop, "127.0.0.1",
-                                           this->server.port(), 2);
+        this->client = http_client::create(
+            this->loop, "127.0.0.1", this->server.port(), max_connections);
     }
     ~http_client_fixture() { this->client->close(); }
 
@@ -52,19 +55,21 @@
     }
 
     event_loop loop;
+    std::multiset<std::string> targets; ///< of the requests that arrived
     std::vector<std::shared_ptr<http_responder>> waiting;
     bool reply_at_once = false;
-    http_server server{
-        this->loop, "Deadline",
-        [this](const http_request&, const std::shared_ptr<http_responder>& to)
-        {
-            if (this->reply_at_once)
-            {
-                to->answer({200, ""});
-                return;
-            }
-            this->waiting.push_back(to);
-        }};
+    http_server server{this->loop, "Deadline",
+                       [this](const http_request& request,
+                              const std::shared_ptr<http_responder>& to)
+                       {
+                           this->targets.insert(request.target);
+                           if (this->reply_at_once)
+                           {
+                               to->answer({200, ""});
+                               return;
+                           }
+                           this->waiting.push_back(to);
+                       }};
     std::shared_ptr<http_client> client;
 };
 
@@ -118,6 +123,100 @@
         wait_timeout));
 }
 
+// Guards against a request that is sent, and may be carried out, after its time
+// is over: it has waited for a connection for longer than its time-out.
+BOOST_AUTO_TEST_CASE(call_waited_past_its_timeout_is_not_sent)
+{
+    http_call request;
+    request.method = "POST";
+    request.target = "/long";
+    request.body = "x";
+    request.timeout = wait_timeout;
+    std::size_t replied = 0;
+    for (std::size_t i = 0; i < max_connections; ++i)
+    {
+        this->client->call(request,
+                           [&replied](const http_reply& reply) {
+                               replied += reply.result == http_result::replied;
+                           });
+    }
+    BOOST_REQUIRE(this->loop.run_until(
+        [&] { return this->waiting.size() == max_connections; }, wait_timeout));
+    std::optional<http_reply> result;
+    request.target = "/short";
+    request.timeout = call_timeout;
+    this->client->call(request, [&result](http_reply reply)
+                       { result = std::move(reply); });
+    this->loop.run_until([] { return false; }, 2 * call_timeout);
+    for (const auto& responder : this->waiting)
+    {
+        responder->answer({200, ""});
+    }
+    BOOST_REQUIRE(
+        this->loop.run_until([&] { return result.has_value(); }, wait_timeout));
+    BOOST_CHECK(result->result == http_result::not_sent);
+    this->reply_at_once = true;
+    BOOST_CHECK(this->call().result == http_result::replied);
+    BOOST_TEST(replied == max_connections);
+    BOOST_TEST(this->targets.size() == max_connections + 1);
+    BOOST_TEST(this->targets.count("/short") == 0U);
+}
+
+// Guards against a result that is reported only once a connection gets free.
+BOOST_AUTO_TEST_CASE(call_waiting_times_out_while_connections_are_busy)
+{
+    http_call request;
+    request.target = "/long";
+    request.timeout = 2 * wait_timeout;
+    for (std::size_t i = 0; i < max_connections; ++i)
+    {
+        this->client->call(request, [](const http_reply&) {});
+    }
+    BOOST_CHECK(this->call().result == http_result::not_sent);
+    BOOST_REQUIRE(this->loop.run_until(
+        [&] { return this->waiting.size() == max_connections; }, wait_timeout));
+}
+
+// Guards against the same when the process was frozen while it connected.
+BOOST_AUTO_TEST_CASE(call_connected_past_its_timeout_is_not_sent)
+{
+    http_call request;
+    request.target = "/short";
+    request.timeout = call_timeout;
+    std::optional<http_reply> result;
+    this->client->call(request, [&result](http_reply reply)
+                       { result = std::move(reply); });
+    std::this_thread::sleep_for(2 * call_timeout);
+    BOOST_REQUIRE(
+        this->loop.run_until([&] { return result.has_value(); }, wait_timeout));
+    BOOST_CHECK(result->result == http_result::not_sent);
+    this->reply_at_once = true;
+    BOOST_CHECK(this->call().result == http_result::replied);
+    BOOST_TEST(this->targets.count("/short") == 0U);
+}
+
+// Guards against a late reply that is taken for that of a later call.
+BOOST_AUTO_TEST_CASE(late_reply_content_is_dropped)
+{
+    BOOST_CHECK(this->call().result == http_result::no_reply);
+    BOOST_REQUIRE(this->loop.run_until([&] { return !this->waiting.empty(); },
+                                       wait_timeout));
+    this->waiting.front()->answer({409, "late"});
+    BOOST_REQUIRE(this->loop.run_until(
+        [&]
+        {
+            return this->client->round_trips().timeout(
+                       milliseconds(0), max_timeout) > milliseconds(0);
+        },
+        wait_timeout));
+    this->reply_at_once = true;
+    const http_reply next = this->call();
+    BOOST_CHECK(next.result == http_result::replied);
+    BOOST_TEST(next.status == 200);
+    BOOST_TEST(next.body == "");
+    BOOST_TEST(this->client->connections_opened() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubedrum
