Don't start a job again while runs of a pool given up have a lease

A holder that gives a pool up ends the jobs with runs there as incomplete and forgets them. When such a job came again within the next second, the holder started it on a server of another pool while the first run went on: two runs at once.

Cause: abandon_server relied on the new holder to stop the runs, and on the 1.3 s after which a caller tries again. The new holder may not have reached the server, and a next attempt need not follow the give-up: it may be on its way when the answer is sent, its 1.3 s may count from an earlier break of the caller's connection, or the accepting instance lost the answer with the link and sends the job to the same holder again.

Fix: the holder remembers the jobs with runs on an abandoned server for lease_expiry (1.1 s), and answers further attempts in that time as incomplete (504), without starting or reopening anything. A stopping holder does not refuse them either, since after a refusal another holder may start them. The holder renews nothing on an abandoned server, so that this time counts from its own last renewal.

Callers would have seen: two runs of a task. Now such an attempt gets 504 and the one after it runs.

Ruled out by reading: a hand-over of an idle pool cannot cause it. hand_over_idle_pool asks has_runs, which counts starts on their way and unanswered ones, and there is no step of the event loop between the question and close_session. The result of a job of an abandoned server is sent before the heartbeat without the pool (give_up closes the sessions, then calls holds_changed), so that over one link an accepting instance never sees the smaller set of pools while it waits for such a job. A job that is handed back by a stopping holder has no run there (on_servers is 0), also none on an abandoned server, since such jobs end as incomplete.

--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -44,7 +44,8 @@
 
 pool_dispatcher::pool_dispatcher(const dispatch_options& settings,
                                  task_launcher& orders, job_listener& results)
-    : launcher(orders)
+    : lease_expiry(settings.lease_expiry)
+    , launcher(orders)
     , listener(results)
     , chooser(settings.far_factor)
 {
@@ -81,6 +82,7 @@
     }
     for (const std::string& job : affected)
     {
+        this->abandoned_jobs[job] = now + this->lease_expiry;
         this->cancel(job, "the pool went to another holder", now);
     }
     this->remove_server(id, now);
@@ -116,6 +118,16 @@
 void pool_dispatcher::submit(job_request request, const job_terms& terms,
                              const job_origin& origin, instant now)
 {
+    if (this->has_abandoned_runs(request.id, now))
+    {
+        this->listener.job_ended(
+            origin,
+            {job_outcome::incomplete, "runs left on a server that was given up",
+             milliseconds(0)},
+            pooled_job::create(std::move(request), terms, origin, now)
+                .report(now));
+        return;
+    }
     const auto at = this->jobs.find(request.id);
     pooled_job* job = nullptr;
     if (at != this->jobs.end())
@@ -712,6 +724,8 @@
 
 void pool_dispatcher::pump(instant now)
 {
+    std::erase_if(this->abandoned_jobs,
+                  [now](const auto& entry) { return entry.second <= now; });
     this->check_deadlines(now);
     std::vector<pooled_job*> on_time;
     std::vector<pooled_job*> late;
@@ -772,7 +786,14 @@
 
 bool pool_dispatcher::has_job(const std::string& job) const
 {
-    return this->jobs.count(job) > 0;
+    return this->jobs.count(job) > 0 || this->abandoned_jobs.count(job) > 0;
+}
+
+bool pool_dispatcher::has_abandoned_runs(const std::string& job,
+                                         instant now) const
+{
+    const auto at = this->abandoned_jobs.find(job);
+    return at != this->abandoned_jobs.end() && now < at->second;
 }
 
 bool pool_dispatcher::has_run(const std::string& server,
--- a/src/libjujubedrum/dispatch/pool_dispatcher.hpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.hpp
@@ -49,6 +49,8 @@
     /// Run time of a task away from the rack of its data, as a multiple of
     /// that within the rack.
     double far_factor = 1.5;
+    /// Time after the last renewal by which a lease has ended on any server.
+    milliseconds lease_expiry{1100};
 };
 
 /// Queues, places, retries and ends jobs on the servers that this instance
@@ -68,7 +70,8 @@
     /// Removes a server. Call it once no run started here can be on it.
     void remove_server(const std::string& id, instant now);
     /// Removes a server that another holder has taken. That holder stops the
-    /// runs on it, so jobs with runs on it end as incomplete.
+    /// runs on it, so jobs with runs on it end as incomplete, and so do their
+    /// next attempts until the lease of the runs has ended.
     void abandon_server(const std::string& id, instant now);
     /// Sets whether the server answers; only reachable ones get new tasks.
     void set_reachable(const std::string& id, bool value, instant now);
@@ -110,7 +113,8 @@
     void hand_back_unservable(instant now);
     /// Returns whether a caller waits for the job.
     [[nodiscard]] bool is_open(const std::string& job) const;
-    /// Returns whether the job is open or its runs are still being stopped.
+    /// Returns whether the job is open, or its runs are still being stopped or
+    /// may be left on an abandoned server.
     [[nodiscard]] bool has_job(const std::string& job) const;
     /// Returns whether this run of one of the dispatcher's jobs may be on the
     /// server.
@@ -160,7 +164,11 @@
                       const dispatch_load& current_load) const;
     void refuse_if_too_late(pooled_job& job, instant now);
     void check_deadlines(instant now);
+    /// Returns whether runs of the job may be left on an abandoned server.
+    [[nodiscard]] bool has_abandoned_runs(const std::string& job,
+                                          instant now) const;
 
+    milliseconds lease_expiry;
     task_launcher& launcher;
     job_listener& listener;
     server_chooser chooser;
@@ -169,6 +177,8 @@
     /// Jobs with waiting tasks, by latest start and then by submission.
     std::map<queue_key, pooled_job*> queue;
     std::set<std::pair<instant, std::string>> deadlines;
+    /// Jobs with runs on abandoned servers, and when these have ended.
+    std::map<std::string, instant> abandoned_jobs;
     std::uint64_t next_sequence = 1;
     capacity_meter meter;
     instant next_overdue_check{0};
--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -24,6 +24,7 @@
 dispatch_options options_of(const node_settings& settings)
 {
     dispatch_options options;
+    options.lease_expiry = settings.lease_expiry();
     options.far_factor = settings.far_factor();
     return options;
 }
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -338,6 +338,60 @@
     BOOST_CHECK(accepting.result_of(2)->outcome == job_outcome::incomplete);
 }
 
+// Guards against a second run of a job that comes again just after its holder
+// gave up the pool of the first: the run has a lease, and its new holder may
+// not have reached the server.
+BOOST_AUTO_TEST_CASE(pool_given_up_job_submitted_again_runs_once)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    peer_standin accepting(this->loop, "b", this->member_of("a"), {});
+    BOOST_REQUIRE(this->wait([&] { return accepting.linked(); }));
+    submit_message job = this->submission_of("0000000000000001", 3000);
+    accepting.send(job);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 1; }));
+    const auto pool_of_server = [](const std::string& id)
+    {
+        server_info info;
+        info.id = id;
+        info.domain = "d1";
+        return pool_of(info);
+    };
+    const pool_id lost = pool_of_server("s1");
+    std::string kept = "s2";
+    while (pool_of_server(kept) == lost)
+    {
+        kept += "x";
+    }
+    this->add_server(kept);
+    BOOST_REQUIRE(this->wait_for_servers("a", 2));
+    peer_standin next(this->loop, "c", this->member_of("a"),
+                      {{lost, std::uint64_t{1} << 52U, false}}, "d1");
+    BOOST_REQUIRE(
+        this->wait([&] { return accepting.result_of(1).has_value(); }));
+    BOOST_CHECK(accepting.result_of(1)->outcome == job_outcome::incomplete);
+    job.ticket = 2;
+    accepting.send(job);
+    BOOST_REQUIRE(
+        this->wait([&] { return accepting.result_of(2).has_value(); }));
+    BOOST_CHECK(accepting.result_of(2)->outcome == job_outcome::incomplete);
+    const instant refused = event_loop::now();
+    while (accepting.result_of(job.ticket)->outcome ==
+               job_outcome::incomplete &&
+           event_loop::now() - refused < seconds(20))
+    {
+        this->run_for(milliseconds(50));
+        ++job.ticket;
+        accepting.send(job);
+        BOOST_REQUIRE(this->wait(
+            [&] { return accepting.result_of(job.ticket).has_value(); }));
+    }
+    BOOST_CHECK(accepting.result_of(job.ticket)->outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.violations().empty());
+}
+
 // The answer to a start is lost; the poll reply shows the run.
 BOOST_AUTO_TEST_CASE(start_answer_lost_task_runs_once)
 {
--- a/tests/unit/dispatch/peer_standin.cpp
+++ b/tests/unit/dispatch/peer_standin.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 
-/// Failure domain of the stand-ins, so that their links are not prioritized.
-constexpr const char* other_domain = "d9";
 constexpr std::uint64_t free_cpu = 64000;
 constexpr double mean_run_ms = 1000;
 
@@ -19,11 +17,12 @@
 
 peer_standin::peer_standin(event_loop& loop, const std::string& name,
                            const member_record& tested,
-                           std::vector<pool_hold> holds)
-    : mesh(loop, {name, "127.0.0.1", 0, 1, other_domain, 1000}, *this)
+                           std::vector<pool_hold> holds,
+                           const std::string& domain)
+    : mesh(loop, {name, "127.0.0.1", 0, 1, domain, 1000}, *this)
 {
     const std::uint64_t cpu = holds.empty() ? 0 : free_cpu;
-    this->own = {{name, 1, other_domain, 1000, false, std::move(holds)},
+    this->own = {{name, 1, domain, 1000, false, std::move(holds)},
                  {cpu, cpu, 0, mean_run_ms},
                  milliseconds(0)};
     this->mesh.set_heartbeat(this->own);
--- a/tests/unit/dispatch/peer_standin.hpp
+++ b/tests/unit/dispatch/peer_standin.hpp
@@ -19,8 +19,11 @@
 public:
     /// \param holds sent in the heartbeats; a peer that holds pools also
     /// announces free capacity.
+    /// \param domain by default one without servers, so that its links are not
+    /// prioritized.
     peer_standin(event_loop& loop, const std::string& name,
-                 const member_record& tested, std::vector<pool_hold> holds);
+                 const member_record& tested, std::vector<pool_hold> holds,
+                 const std::string& domain = "d9");
 
     /// Returns whether a heartbeat of the instance under test has arrived.
     [[nodiscard]] bool linked() const { return this->link.has_value(); }
--- a/tests/unit/dispatch/pool_dispatcher_test.cpp
+++ b/tests/unit/dispatch/pool_dispatcher_test.cpp
@@ -342,6 +342,45 @@
     BOOST_TEST(this->starts.size() == 1);
 }
 
+// Guards against a second run while the one on the server that was given up has
+// a lease: the caller tried again, or its instance lost the answer with the
+// link and sent the job again.
+BOOST_AUTO_TEST_CASE(server_abandoned_job_submitted_again_waits_for_lease)
+{
+    this->add_server("s1");
+    this->submit(make_job("a", 1));
+    this->accept_all();
+    this->add_server("s2");
+    this->dispatcher.abandon_server("s1", this->now);
+    BOOST_TEST(this->dispatcher.has_job("a"));
+    this->submit(make_job("a", 1), 2);
+    BOOST_TEST(this->starts.size() == 1);
+    BOOST_REQUIRE(this->result_of(2));
+    BOOST_CHECK(this->result_of(2)->outcome == job_outcome::incomplete);
+    this->advance(dispatch_options{}.lease_expiry);
+    BOOST_TEST(!this->dispatcher.has_job("a"));
+    this->submit(make_job("a", 1), 3);
+    BOOST_REQUIRE_EQUAL(this->starts.size(), 2);
+    BOOST_TEST(this->starts[1].first == "s2");
+}
+
+// The same while another run of the job is being stopped here.
+BOOST_AUTO_TEST_CASE(server_abandoned_job_with_other_run_not_reopened)
+{
+    this->add_server("s1");
+    this->add_server("s2");
+    this->submit(make_job("a", 4));
+    BOOST_REQUIRE_EQUAL(this->starts.size(), 4);
+    this->accept_all();
+    this->dispatcher.abandon_server("s1", this->now);
+    BOOST_TEST(this->stops.size() == 4);
+    this->submit(make_job("a", 4), 2);
+    this->report_running("s2", {});
+    BOOST_TEST(this->starts.size() == 4);
+    BOOST_REQUIRE(this->result_of(2));
+    BOOST_CHECK(this->result_of(2)->outcome == job_outcome::incomplete);
+}
+
 // A server that fails every task is free again soon and would attract more.
 BOOST_AUTO_TEST_CASE(server_failing_all_gets_no_more)
 {
