Send jobs back to a holder whose other pools are clean elsewhere

After a holder gave one pool up and the link to an accepting instance was reset, that instance's jobs at the holder waited until their limit and were answered 504, although the holder lived and knew their runs.

Cause: same_holder needs each pool of the last heartbeat before the reset under the same token, which is over for good once one was given up, and all_clean needs each under a higher token, which the kept ones never get. The handing over of idle pools makes such give-ups part of normal operation.

Fix: knows_its_runs. The holder has not restarted, and each pool is kept under its token or clean under a higher one. If a server was named as unlisted, the jobs wait as before, since the new holder may not know it. The job goes to that holder only, as after same_holder. If all pools are clean under higher tokens, pools_clean still comes first, so that any holder may take the job.

Callers would have seen: 504 at the limit instead of a result. No second run was possible by this, before or after: pool_election_suite/ holder_knows_its_runs_once_pool_given_up_is_clean covers a pool that is not clean, an equal token, an unlisted server and a restart.

--- a/src/libjujubedrum/dispatch/pool_election.cpp
+++ b/src/libjujubedrum/dispatch/pool_election.cpp
@@ -85,6 +85,38 @@
     return pool.shard % holders;
 }
 
+bool same_boot(const instance_view& before, const instance_view& now)
+{
+    return before.name == now.name && before.boot == now.boot;
+}
+
+/// Returns whether the instance holds the pool under the same token.
+bool keeps(const instance_view& instance, const pool_hold& before)
+{
+    return std::any_of(instance.holds.begin(), instance.holds.end(),
+                       [&before](const pool_hold& hold) {
+                           return hold.pool == before.pool &&
+                                  hold.token == before.token;
+                       });
+}
+
+/// Returns whether no runs of earlier holders remain on the servers of the
+/// pool, under a higher token.
+bool is_cleaned(const pool_hold& before,
+                const std::vector<instance_view>& instances)
+{
+    const auto succeeds = [&before](const pool_hold& hold) {
+        return hold.pool == before.pool && hold.token > before.token &&
+               hold.clean;
+    };
+    return std::any_of(instances.begin(), instances.end(),
+                       [&succeeds](const instance_view& instance)
+                       {
+                           return std::any_of(instance.holds.begin(),
+                                              instance.holds.end(), succeeds);
+                       });
+}
+
 } // namespace
 
 std::size_t server_capacity(std::uint32_t link_kbps)
@@ -265,37 +297,31 @@
 bool pool_election::same_holder(const instance_view& before,
                                 const instance_view& now)
 {
-    return before.name == now.name && before.boot == now.boot &&
+    return same_boot(before, now) &&
            std::all_of(before.holds.begin(), before.holds.end(),
                        [&now](const pool_hold& old)
-                       {
-                           return std::any_of(
-                               now.holds.begin(), now.holds.end(),
-                               [&old](const pool_hold& hold) {
-                                   return hold.pool == old.pool &&
-                                          hold.token == old.token;
-                               });
+                       { return keeps(now, old); });
+}
+
+bool pool_election::knows_its_runs(const instance_view& before,
+                                   const instance_view& now,
+                                   const std::vector<instance_view>& instances)
+{
+    // The holder of a pool that it gave up may not have taken over servers that
+    // it does not know.
+    return same_boot(before, now) && before.unlisted_servers.empty() &&
+           std::all_of(before.holds.begin(), before.holds.end(),
+                       [&now, &instances](const pool_hold& old) {
+                           return keeps(now, old) || is_cleaned(old, instances);
                        });
 }
 
 bool pool_election::all_clean(const std::vector<pool_hold>& lost,
                               const std::vector<instance_view>& instances)
 {
-    const auto cleaned = [&instances](const pool_hold& before)
-    {
-        const auto succeeds = [&before](const pool_hold& hold) {
-            return hold.pool == before.pool && hold.token > before.token &&
-                   hold.clean;
-        };
-        return std::any_of(instances.begin(), instances.end(),
-                           [&succeeds](const instance_view& instance)
-                           {
-                               return std::any_of(instance.holds.begin(),
-                                                  instance.holds.end(),
-                                                  succeeds);
-                           });
-    };
-    return std::all_of(lost.begin(), lost.end(), cleaned);
+    return std::all_of(lost.begin(), lost.end(),
+                       [&instances](const pool_hold& before)
+                       { return is_cleaned(before, instances); });
 }
 
 std::size_t pool_election::rank(const instance_view& self,
--- a/src/libjujubedrum/dispatch/pool_election.hpp
+++ b/src/libjujubedrum/dispatch/pool_election.hpp
@@ -157,6 +157,14 @@
     [[nodiscard]] static bool same_holder(const instance_view& before,
                                           const instance_view& now);
 
+    /// Returns whether an instance has not restarted since `before`, and each
+    /// pool that it held is still its own under the same token or is clean
+    /// under a higher one. It then knows all runs that it started and that may
+    /// remain.
+    [[nodiscard]] static bool
+    knows_its_runs(const instance_view& before, const instance_view& now,
+                   const std::vector<instance_view>& instances);
+
     /// Returns whether every pool in `lost` has a holder with a higher token
     /// on whose servers no runs of earlier holders remain.
     [[nodiscard]] static bool
--- a/src/libruntime/node/job_router.cpp
+++ b/src/libruntime/node/job_router.cpp
@@ -468,6 +468,17 @@
     {
         return resubmission_basis::pools_clean;
     }
+    const bool knows_its_runs =
+        std::any_of(instances.begin(), instances.end(),
+                    [&](const instance_view& instance)
+                    {
+                        return pool_election::knows_its_runs(
+                            disconnected.instance, instance, instances);
+                    });
+    if (knows_its_runs)
+    {
+        return resubmission_basis::rejoined;
+    }
     if (disconnected.restarted &&
         now - *disconnected.restarted > this->settings.lease_expiry())
     {
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -392,6 +392,39 @@
     BOOST_TEST(this->record.violations().empty());
 }
 
+// Guards against a job that waits until its limit, although its holder lives:
+// the holder gave a pool up, and its link was reset.
+BOOST_AUTO_TEST_CASE(holder_gave_pool_up_link_reset_gets_job_back)
+{
+    const pool_id kept{"d9", 0};
+    const pool_id moved{"d9", 1};
+    constexpr std::uint64_t token = 1024;
+    this->start_node("a");
+    std::optional<peer_standin> holder;
+    holder.emplace(
+        this->loop, "h", this->member_of("a"),
+        std::vector<pool_hold>{{kept, token, true}, {moved, token, true}});
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["a"]->node().ready(); }));
+    this->submit("a", "0000000000000001", 1, 30);
+    BOOST_REQUIRE(this->wait([&] { return !holder->submissions().empty(); }));
+    peer_standin next(this->loop, "k", this->member_of("a"),
+                      {{moved, token + 1, true}});
+    BOOST_REQUIRE(this->wait([&] { return next.linked(); }));
+    holder.emplace(this->loop, "h", this->member_of("a"),
+                   std::vector<pool_hold>{{kept, token, true}});
+    BOOST_REQUIRE(this->wait(
+        [&]
+        { return !holder->submissions().empty() || !this->results.empty(); }));
+    BOOST_REQUIRE(!holder->submissions().empty());
+    BOOST_TEST(next.submissions().empty());
+    holder->send(result_message{holder->submissions().front().ticket,
+                                {job_outcome::completed, "", milliseconds(0)},
+                                {}});
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    BOOST_CHECK(this->results["0000000000000001"].outcome ==
+                job_outcome::completed);
+}
+
 // The answer to a start is lost; the poll reply shows the run.
 BOOST_AUTO_TEST_CASE(start_answer_lost_task_runs_once)
 {
--- a/tests/unit/dispatch/pool_election_test.cpp
+++ b/tests/unit/dispatch/pool_election_test.cpp
@@ -285,6 +285,34 @@
     BOOST_TEST(!pool_election::same_holder(before, now));
 }
 
+// Guards against a job that is sent again to a holder while its runs in a pool
+// that the holder gave up may remain.
+BOOST_AUTO_TEST_CASE(holder_knows_its_runs_once_pool_given_up_is_clean)
+{
+    auto before = make_instance("a", "d1");
+    before.boot = 7;
+    before.holds = {{{"d1", 0}, 5}, {{"d1", 1}, 5}};
+    auto now = before;
+    now.holds.pop_back();
+    auto next = make_instance("b", "d1");
+    const auto known = [&] {
+        return pool_election::knows_its_runs(before, now, {now, next});
+    };
+    BOOST_TEST(!known());
+    next.holds = {{{"d1", 1}, 6, false}};
+    BOOST_TEST(!known());
+    next.holds[0].clean = true;
+    BOOST_TEST(known());
+    next.holds[0].token = 5;
+    BOOST_TEST(!known());
+    next.holds[0].token = 6;
+    before.unlisted_servers = {"s1"};
+    BOOST_TEST(!known());
+    before.unlisted_servers.clear();
+    now.boot = 8;
+    BOOST_TEST(!known());
+}
+
 // Guards against overload of the store: in the sweep of 2026-12-04, 300
 // instances each read the list of 3,000 servers, and changes of the
 // configuration were delayed.
