Don't renew the lease of an unknown run that cannot be stopped

A run that appears on a server after its takeover and that the holder does not know was stopped with each poll reply, but if the stops got lost, polls went on renewing its lease and starts went on there: it could run for as long as it took, beside the run that the holder had started elsewhere.

Failed before: server_session_suite/unknown_run_not_stopped_lease_not_renewed (the poll sent 200 ms after the run was first listed renewed the lease, and the server stayed usable).

Cause: the limit of 150 ms for a stop without confirmation counted only the stops of runs that the dispatcher has. Before the takeover nothing is renewed, so that unknown runs were safe there; afterwards they can appear when a restarted server, which has forgotten the token, carries out an old start.

Fix: the session keeps since when each unknown run has been listed, counts that as it counts a stop, and begins anew when a stop is confirmed. The bound is the one of lost stops: 150 ms, the lease and its slack, 1.21 s after the run was first listed. It costs nothing while stops are confirmed.

Callers would have seen: two runs of a task until the first ended by itself. Still open: the time until the first reply that lists the run (a poll after the restart).

--- a/src/libruntime/node/server_session.cpp
+++ b/src/libruntime/node/server_session.cpp
@@ -289,19 +289,31 @@
 
 bool server_session::stop_unknown_runs(const poll_reply& reply)
 {
-    bool any = false;
+    const std::map<run_id, instant> earlier = std::move(this->unknown_runs);
+    this->unknown_runs.clear();
     for (const active_run& row : reply.running)
     {
-        if (!this->dispatcher.has_run(this->id_value, row.run))
+        if (this->dispatcher.has_run(this->id_value, row.run))
         {
-            any = true;
-            LOG(INFO) << "server: stopping unknown run; server="
-                      << this->id_value << " job=" << row.run.task.job
-                      << " run=" << row.run.run;
-            this->channel->stop(row.run, this->token_value, [](bool) {});
+            continue;
         }
+        const auto at = earlier.find(row.run);
+        this->unknown_runs[row.run] =
+            at == earlier.end() ? event_loop::now() : at->second;
+        LOG(INFO) << "server: stopping unknown run; server=" << this->id_value
+                  << " job=" << row.run.task.job << " run=" << row.run.run;
+        this->channel->stop(
+            row.run, this->token_value,
+            [self = this->shared_from_this(), run = row.run](bool confirmed)
+            {
+                const auto stopped = self->unknown_runs.find(run);
+                if (confirmed && stopped != self->unknown_runs.end())
+                {
+                    stopped->second = event_loop::now();
+                }
+            });
     }
-    return any;
+    return !this->unknown_runs.empty();
 }
 
 void server_session::set_reachable(bool value, const char* reason)
@@ -396,9 +408,12 @@
     std::erase_if(
         this->open_stops, [this](const auto& entry)
         { return !this->dispatcher.has_run(this->id_value, entry.first); });
+    const auto unresolved = [now](const auto& entry)
+    { return now - entry.second >= max_unresolved_stop; };
     return std::any_of(this->open_stops.begin(), this->open_stops.end(),
-                       [now](const auto& entry)
-                       { return now - entry.second >= max_unresolved_stop; });
+                       unresolved) ||
+           std::any_of(this->unknown_runs.begin(), this->unknown_runs.end(),
+                       unresolved);
 }
 
 void server_session::stop(const run_id& run, milliseconds backoff)
--- a/src/libruntime/node/server_session.hpp
+++ b/src/libruntime/node/server_session.hpp
@@ -146,6 +146,9 @@
     /// When the stop of a run was first requested, until it is confirmed or the
     /// run has ended.
     std::map<run_id, instant> open_stops;
+    /// Runs in the last poll reply that the dispatcher does not have, since
+    /// when they are listed; their stops are repeated with each reply.
+    std::map<run_id, instant> unknown_runs;
 };
 
 } // namespace jujubedrum
--- a/tests/unit/dispatch/server_session_test.cpp
+++ b/tests/unit/dispatch/server_session_test.cpp
@@ -221,6 +221,27 @@
     BOOST_TEST(this->requests.polls[4].first.lease_until.has_value());
 }
 
+// Guards against renewals for a run that appeared after the takeover and cannot
+// be stopped: a restarted server has carried out an old start, and stops to it
+// get lost.
+BOOST_AUTO_TEST_CASE(unknown_run_not_stopped_lease_not_renewed)
+{
+    const active_run unknown{{{"other", 0, 0}, 1}, 0};
+    this->begin(tokens_per_hold);
+    this->answer_poll(1, {unknown});
+    BOOST_REQUIRE_EQUAL(this->requests.polls.size(), 3);
+    BOOST_TEST(this->requests.polls[2].first.lease_until.has_value());
+    this->loop.run_until([] { return false; }, milliseconds(200));
+    this->answer_poll(2, {unknown});
+    BOOST_REQUIRE_EQUAL(this->requests.polls.size(), 4);
+    BOOST_TEST(!this->requests.polls[3].first.lease_until.has_value());
+    BOOST_TEST(!this->session->is_reachable());
+    this->answer_poll(3);
+    BOOST_REQUIRE_EQUAL(this->requests.polls.size(), 5);
+    BOOST_TEST(this->requests.polls[4].first.lease_until.has_value());
+    BOOST_TEST(this->session->is_reachable());
+}
+
 // The server is lost for good, so the task does not wait for its answer.
 BOOST_AUTO_TEST_CASE(start_unanswered_server_lost_task_freed_after_its_delay)
 {
