--- a/src/libjujubedrum/dispatch/pool_election.cpp
+++ b/src/libjujubedrum/dispatch/pool_election.cpp
@@ -104,6 +104,35 @@
                          before.servers->begin(), before.servers->end());
 }
 
+/// Returns whether one of the instances has taken the pool of `before` over.
+bool is_cleaned(const instance_view& lost, const pool_hold& before,
+                const std::vector<instance_view>& instances)
+{
+    const auto succeeds = [&lost, &before](const pool_hold& hold)
+    { return has_taken_over(lost, before, hold); };
+    return std::any_of(instances.begin(), instances.end(),
+                       [&succeeds](const instance_view& instance)
+                       {
+                           return std::any_of(instance.holds.begin(),
+                                              instance.holds.end(), succeeds);
+                       });
+}
+
+bool same_boot(const instance_view& before, const instance_view& now)
+{
+    return before.name == now.name && before.boot == now.boot;
+}
+
+/// Returns whether the instance holds the pool under the same token.
+bool keeps(const instance_view& instance, const pool_hold& before)
+{
+    return std::any_of(instance.holds.begin(), instance.holds.end(),
+                       [&before](const pool_hold& hold) {
+                           return hold.pool == before.pool &&
+                                  hold.token == before.token;
+                       });
+}
+
 } // namespace
 
 std::size_t server_capacity(std::uint32_t link_kbps)
@@ -289,36 +318,31 @@
 bool pool_election::same_holder(const instance_view& before,
                                 const instance_view& now)
 {
-    return before.name == now.name && before.boot == now.boot &&
+    return same_boot(before, now) &&
            std::all_of(before.holds.begin(), before.holds.end(),
                        [&now](const pool_hold& old)
-                       {
-                           return std::any_of(
-                               now.holds.begin(), now.holds.end(),
-                               [&old](const pool_hold& hold) {
-                                   return hold.pool == old.pool &&
-                                          hold.token == old.token;
-                               });
+                       { return keeps(now, old); });
+}
+
+bool pool_election::knows_its_runs(const instance_view& before,
+                                   const instance_view& now,
+                                   const std::vector<instance_view>& instances)
+{
+    return same_boot(before, now) &&
+           std::all_of(before.holds.begin(), before.holds.end(),
+                       [&before, &now, &instances](const pool_hold& old) {
+                           return keeps(now, old) ||
+                                  is_cleaned(before, old, instances);
                        });
 }
 
 bool pool_election::all_clean(const instance_view& lost,
                               const std::vector<instance_view>& instances)
 {
-    const auto cleaned = [&lost, &instances](const pool_hold& before)
-    {
-        const auto succeeds = [&lost, &before](const pool_hold& hold)
-        { return has_taken_over(lost, before, hold); };
-        return std::any_of(instances.begin(), instances.end(),
-                           [&succeeds](const instance_view& instance)
-                           {
-                               return std::any_of(instance.holds.begin(),
-                                                  instance.holds.end(),
-                                                  succeeds);
-                           });
-    };
     return !lost.holds.empty() &&
-           std::all_of(lost.holds.begin(), lost.holds.end(), cleaned);
+           std::all_of(lost.holds.begin(), lost.holds.end(),
+                       [&lost, &instances](const pool_hold& before)
+                       { return is_cleaned(lost, before, instances); });
 }
 
 std::size_t pool_election::rank(const instance_view& self,
--- a/src/libjujubedrum/dispatch/pool_election.hpp
+++ b/src/libjujubedrum/dispatch/pool_election.hpp
@@ -168,6 +168,14 @@
     [[nodiscard]] static bool same_holder(const instance_view& before,
                                           const instance_view& now);
 
+    /// Returns whether an instance has not restarted since `before`, and each
+    /// pool that it held is still its own under the same token or was taken
+    /// over, as in `all_clean`. It then knows all runs that it started and that
+    /// may remain.
+    [[nodiscard]] static bool
+    knows_its_runs(const instance_view& before, const instance_view& now,
+                   const std::vector<instance_view>& instances);
+
     /// Returns whether every pool of `lost` has a holder with a higher token
     /// that has taken over all servers on which `lost` may have runs, so that
     /// none of them remains. A holder that does not know one of these servers,
