Start remote jobs only while their accepting instance is confirmed

Callers could see a task run twice. A holder that wakes from a freeze handles what waits in its sockets in order: a submission, or a poll reply that makes it start waiting tasks, before the end of the link over which the job came. The accepting instance was lost meanwhile, and its caller's next attempt, 1.3 s later, runs at another holder. Fencing stops the late start only if another instance took the pools.

Cause: a message counted as a sign of life at the time when it was read. Class: a view of the past is taken as proof that another process is alive.

Heartbeats now carry the sender's clock. Before each submission, and after each heartbeat while jobs are open, the accepting instance sends the time on the holder's clock at which it was alive. The estimate is never ahead of that clock but for drift, however long either message was under way. The holder starts tasks only within 1 s of it, by its own clock; the job waits for a fresher one meanwhile. The time is that by which the accepting instance has handled what was ready, not that of sending: after a freeze of its own, it confirms before it reads that callers have left.

Jobs of earlier versions, which send neither, are not held back.

Ruled out: looking at the ends of all links before other messages, since a lost machine does not end its links; judging by the time of arrival, which a freeze of the holder or a held-up message renews; a time of day, which may jump.

--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/pool_dispatcher.hpp"
 
+#include "dispatch/next_attempt.hpp"
+
 #include <algorithm>
 #include <array>
 #include <limits>
@@ -31,6 +33,18 @@
 constexpr milliseconds min_retry_after{100};
 constexpr milliseconds max_retry_after{3000};
 
+/// Tasks of a remote job start only while the last confirmation of its
+/// accepting instance is at most this old. Confirmations follow each other
+/// after at most 300 ms and are up to 150 ms old when they are sent.
+constexpr milliseconds max_confirmation_age{1000};
+/// A server takes this long to stop a run.
+constexpr milliseconds max_stop_time{50};
+static_assert(max_confirmation_age + max_stop_time < min_next_attempt_delay,
+              "a task must not start when its next attempt may run elsewhere");
+/// Confirmations may be ahead of the own clock by the drift of the clocks. One
+/// that is further ahead shows that a clock stood still.
+constexpr milliseconds max_clock_drift{50};
+
 /// Returns when a caller may try again that was refused for this wait. Servers
 /// that are unusable for the moment may be back soon.
 milliseconds retry_after(milliseconds wait)
@@ -225,6 +239,10 @@
 
 void pool_dispatcher::place_waiting(pooled_job& job, instant now)
 {
+    if (!this->is_confirmed(job, now))
+    {
+        return;
+    }
     for (std::uint32_t step = 0; step < job.tasks.size(); ++step)
     {
         for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index)
@@ -554,6 +572,47 @@
     }
 }
 
+void pool_dispatcher::require_confirmation(std::uint64_t instance)
+{
+    this->confirmations.emplace(instance, instant::min());
+}
+
+void pool_dispatcher::confirm_origin(std::uint64_t instance, instant alive_at,
+                                     instant now)
+{
+    if (alive_at > now + max_clock_drift)
+    {
+        return;
+    }
+    instant& last =
+        this->confirmations.emplace(instance, instant::min()).first->second;
+    const bool was_valid = last >= now - max_confirmation_age;
+    last = std::max(last, alive_at);
+    if (was_valid || last < now - max_confirmation_age)
+    {
+        return;
+    }
+    std::vector<pooled_job*> held_back;
+    for (const auto& [key, job] : this->queue)
+    {
+        if (job->origin.instance == instance)
+        {
+            held_back.push_back(job);
+        }
+    }
+    for (pooled_job* job : held_back)
+    {
+        this->place_waiting(*job, now);
+    }
+}
+
+bool pool_dispatcher::is_confirmed(const pooled_job& job, instant now) const
+{
+    const auto at = this->confirmations.find(job.origin.instance);
+    return at == this->confirmations.end() ||
+           at->second >= now - max_confirmation_age;
+}
+
 bool pool_dispatcher::cancel(const std::string& id, std::string_view reason,
                              instant now)
 {
@@ -581,6 +640,7 @@
 void pool_dispatcher::cancel_origin(std::uint64_t instance,
                                     std::string_view reason, instant now)
 {
+    this->confirmations.erase(instance);
     std::vector<std::string> ids;
     for (const auto& [id, job] : this->jobs)
     {
--- a/src/libjujubedrum/dispatch/pool_dispatcher.hpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.hpp
@@ -57,7 +57,10 @@
 /// tasks has run.
 ///
 /// A task is started again only after a poll reply of its server shows that its
-/// last run is not there and can no longer appear.
+/// last run is not there and can no longer appear. Tasks of another instance's
+/// job start only while that instance is confirmed to be alive: when it is
+/// lost, the caller's next attempt may run elsewhere after
+/// `min_next_attempt_delay`.
 class pool_dispatcher
 {
 public:
@@ -83,10 +86,20 @@
     /// Cancels a job unless a later attempt than this one waits for it.
     void cancel_attempt(const std::string& job, const job_origin& attempt,
                         std::string_view reason, instant now);
-    /// Cancels the open jobs that an instance submitted.
+    /// The link to an instance closed: cancels the open jobs that it submitted,
+    /// and forgets its confirmations.
     void cancel_origin(std::uint64_t instance, std::string_view reason,
                        instant now);
 
+    /// From now on, tasks of the instance's jobs start only while its last
+    /// confirmation is recent. Without this call, as for local jobs and for
+    /// instances that send no confirmations, they always may.
+    void require_confirmation(std::uint64_t instance);
+    /// The instance was alive at this time on the clock of `now`, and had
+    /// handled what reached it before: no caller of its open jobs had left.
+    /// Starts jobs that waited for the confirmation.
+    void confirm_origin(std::uint64_t instance, instant alive_at, instant now);
+
     void on_start_result(const std::string& server, const run_id& run,
                          start_outcome outcome, instant now);
     void on_stopped(const std::string& server, const run_id& run, instant now);
@@ -132,6 +145,9 @@
     void enqueue(pooled_job& job);
     void dequeue(pooled_job& job);
     void place_waiting(pooled_job& job, instant now);
+    /// Returns whether the accepting instance of the job is known to have been
+    /// alive so recently that no next attempt of its caller can run elsewhere.
+    [[nodiscard]] bool is_confirmed(const pooled_job& job, instant now) const;
     void start(pooled_job& job, const task_ref& ref, held_server& server,
                instant now);
     void stop_run(const task_ref& ref, instant now);
@@ -169,6 +185,8 @@
     /// Jobs with waiting tasks, by latest start and then by submission.
     std::map<queue_key, pooled_job*> queue;
     std::set<std::pair<instant, std::string>> deadlines;
+    /// Last confirmation of each instance that has to send them.
+    std::unordered_map<std::uint64_t, instant> confirmations;
     std::uint64_t next_sequence = 1;
     capacity_meter meter;
     instant next_overdue_check{0};
--- a/src/libruntime/node/dispatch.capnp
+++ b/src/libruntime/node/dispatch.capnp
@@ -24,6 +24,7 @@
   unlistedServers @8 :List(Text);
   linkKbps @9 :UInt32;
   acceptsAlive @10 :Bool;
+  sentAtUs @11 :Int64;  # on the sender's clock; 0: sends no Confirm
 }
 
 # A heartbeat of an instance whose Hello is still valid but for these fields.
@@ -31,6 +32,13 @@
 struct Alive {
   load @0 :Load;
   intervalMs @1 :UInt32;
+  sentAtMs @2 :UInt32;  # low bits of the time in milliseconds
+}
+
+# The sender was alive at this time on the receiver's clock, and had handled
+# what reached it before. Sent only to peers whose Hello has sentAtUs.
+struct Confirm {
+  aliveAtUs @0 :Int64;
 }
 
 struct Load {
@@ -92,5 +100,6 @@
     cancel @3 :Cancel;
     release @4 :Release;
     alive @5 :Alive;
+    confirm @6 :Confirm;
   }
 }
--- a/src/libruntime/node/dispatch.capnp.h
+++ b/src/libruntime/node/dispatch.capnp.h
@@ -19,6 +19,7 @@
 CAPNP_DECLARE_SCHEMA(ac8a33bb67df5bc5);
 CAPNP_DECLARE_SCHEMA(c4b0bf11dac93599);
 CAPNP_DECLARE_SCHEMA(f79c380a18544d6f);
+CAPNP_DECLARE_SCHEMA(92b8f65d94f47310);
 CAPNP_DECLARE_SCHEMA(a3b28f1318961780);
 CAPNP_DECLARE_SCHEMA(d8f087b2bcea523b);
 CAPNP_DECLARE_SCHEMA(d91878d08c42f92e);
@@ -56,7 +57,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c4b0bf11dac93599, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(c4b0bf11dac93599, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -78,6 +79,21 @@
   };
 };
 
+struct Confirm {
+  Confirm() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(92b8f65d94f47310, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Load {
   Load() = delete;
 
@@ -181,6 +197,7 @@
     CANCEL,
     RELEASE,
     ALIVE,
+    CONFIRM,
   };
 
   struct _capnpPrivate {
@@ -333,6 +350,8 @@
 
   inline bool getAcceptsAlive() const;
 
+  inline  ::int64_t getSentAtUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -415,6 +434,9 @@
   inline bool getAcceptsAlive();
   inline void setAcceptsAlive(bool value);
 
+  inline  ::int64_t getSentAtUs();
+  inline void setSentAtUs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -464,6 +486,8 @@
 
   inline  ::uint32_t getIntervalMs() const;
 
+  inline  ::uint32_t getSentAtMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -502,6 +526,9 @@
   inline  ::uint32_t getIntervalMs();
   inline void setIntervalMs( ::uint32_t value);
 
+  inline  ::uint32_t getSentAtMs();
+  inline void setSentAtMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -529,6 +556,82 @@
 };
 #endif  // !CAPNP_LITE
 
+class Confirm::Reader {
+public:
+  typedef Confirm Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getAliveAtUs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Confirm::Builder {
+public:
+  typedef Confirm Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getAliveAtUs();
+  inline void setAliveAtUs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Confirm::Pipeline {
+public:
+  typedef Confirm Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Load::Reader {
 public:
   typedef Load Reads;
@@ -1225,6 +1328,10 @@
   inline bool hasAlive() const;
   inline  ::jujubedrum::dispatch_wire::Alive::Reader getAlive() const;
 
+  inline bool isConfirm() const;
+  inline bool hasConfirm() const;
+  inline  ::jujubedrum::dispatch_wire::Confirm::Reader getConfirm() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1302,6 +1409,14 @@
   inline void adoptAlive(::capnp::Orphan< ::jujubedrum::dispatch_wire::Alive>&& value);
   inline ::capnp::Orphan< ::jujubedrum::dispatch_wire::Alive> disownAlive();
 
+  inline bool isConfirm();
+  inline bool hasConfirm();
+  inline  ::jujubedrum::dispatch_wire::Confirm::Builder getConfirm();
+  inline void setConfirm( ::jujubedrum::dispatch_wire::Confirm::Reader value);
+  inline  ::jujubedrum::dispatch_wire::Confirm::Builder initConfirm();
+  inline void adoptConfirm(::capnp::Orphan< ::jujubedrum::dispatch_wire::Confirm>&& value);
+  inline ::capnp::Orphan< ::jujubedrum::dispatch_wire::Confirm> disownConfirm();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1669,6 +1784,20 @@
       ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Hello::Reader::getSentAtUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Hello::Builder::getSentAtUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setSentAtUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Alive::Reader::hasLoad() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1722,6 +1851,34 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Alive::Reader::getSentAtMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Alive::Builder::getSentAtMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Alive::Builder::setSentAtMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Confirm::Reader::getAliveAtUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Confirm::Builder::getAliveAtUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Confirm::Builder::setAliveAtUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Load::Reader::getTotalCpu() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2770,6 +2927,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isConfirm() const {
+  return which() == Message::CONFIRM;
+}
+inline bool Message::Builder::isConfirm() {
+  return which() == Message::CONFIRM;
+}
+inline bool Message::Reader::hasConfirm() const {
+  if (which() != Message::CONFIRM) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasConfirm() {
+  if (which() != Message::CONFIRM) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::jujubedrum::dispatch_wire::Confirm::Reader Message::Reader::getConfirm() const {
+  KJ_IREQUIRE((which() == Message::CONFIRM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Confirm>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::jujubedrum::dispatch_wire::Confirm::Builder Message::Builder::getConfirm() {
+  KJ_IREQUIRE((which() == Message::CONFIRM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Confirm>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setConfirm( ::jujubedrum::dispatch_wire::Confirm::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CONFIRM);
+  ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Confirm>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::jujubedrum::dispatch_wire::Confirm::Builder Message::Builder::initConfirm() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CONFIRM);
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Confirm>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptConfirm(
+    ::capnp::Orphan< ::jujubedrum::dispatch_wire::Confirm>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CONFIRM);
+  ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Confirm>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::jujubedrum::dispatch_wire::Confirm> Message::Builder::disownConfirm() {
+  KJ_IREQUIRE((which() == Message::CONFIRM),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::Confirm>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -163,6 +163,11 @@
         LOG(INFO) << "peer: up; name=" << heartbeat.instance.name
                   << " domain=" << heartbeat.instance.domain
                   << " boot=" << heartbeat.instance.boot;
+        // Those of earlier versions send no confirmations.
+        if (heartbeat.sent_at.count() != 0)
+        {
+            this->dispatcher.require_confirmation(link);
+        }
     }
     this->peers[link] = heartbeat;
     this->pools.on_heartbeat(heartbeat.instance, added);
@@ -213,6 +218,12 @@
                                         cancelled->reason, event_loop::now());
         return;
     }
+    if (const auto* confirmed = std::get_if<confirm_message>(&message))
+    {
+        this->dispatcher.confirm_origin(link, confirmed->alive_at,
+                                        event_loop::now());
+        return;
+    }
     if (const auto* released = std::get_if<release_message>(&message))
     {
         this->pools.on_release(link, *released);
@@ -254,6 +265,11 @@
     return links;
 }
 
+std::set<std::uint64_t> dispatch_node::links_to_holders() const
+{
+    return this->router.links_with_open_jobs();
+}
+
 void dispatch_node::on_configuration(route_document document)
 {
     const std::uint64_t version = document.version;
--- a/src/libruntime/node/dispatch_node.hpp
+++ b/src/libruntime/node/dispatch_node.hpp
@@ -77,6 +77,7 @@
                         const std::string& reason) override;
     void on_peer_failed(const std::string& name) override;
     [[nodiscard]] std::set<std::uint64_t> links_with_open_jobs() const override;
+    [[nodiscard]] std::set<std::uint64_t> links_to_holders() const override;
     // store_listener
     void on_configuration(route_document document) override;
     void on_servers(const std::vector<server_change>& changes) override;
--- a/src/libruntime/node/event_loop.cpp
+++ b/src/libruntime/node/event_loop.cpp
@@ -8,6 +8,15 @@
 namespace jujubedrum
 {
 
+namespace
+{
+
+/// Between two ticks, up to 128 sockets are handled, which is how many the
+/// reactor takes at a time. So many ticks cover 512 sockets.
+constexpr std::size_t ticks_until_handled = 4;
+
+} // namespace
+
 event_loop::event_loop()
     : io(1)
     , timer(this->io)
@@ -88,10 +97,27 @@
                 return;
             }
             this->schedule_tick();
+            this->note_tick();
             this->run_due();
         });
 }
 
+void event_loop::note_tick()
+{
+    this->recent_ticks.push_back(now());
+    if (this->recent_ticks.size() > ticks_until_handled + 1)
+    {
+        this->recent_ticks.pop_front();
+    }
+}
+
+instant event_loop::handled_until() const
+{
+    return this->recent_ticks.size() > ticks_until_handled
+               ? this->recent_ticks.front()
+               : instant(0);
+}
+
 void event_loop::run_due()
 {
     const instant due = now();
--- a/src/libruntime/node/event_loop.hpp
+++ b/src/libruntime/node/event_loop.hpp
@@ -3,6 +3,7 @@
 #include "base/time.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -34,6 +35,11 @@
     [[nodiscard]] boost::asio::io_context& context() { return this->io; }
     /// Returns the time of a monotonic clock that counts suspensions.
     [[nodiscard]] static instant now();
+    /// Returns a time by which everything that was ready then, such as a socket
+    /// with data or one that the other end closed, has been handled. It is 40
+    /// to 50 ms ago, and further in the past on a loop that lags behind or has
+    /// just been frozen.
+    [[nodiscard]] instant handled_until() const;
     /// Returns the time of day.
     [[nodiscard]] static wall_time wall_now();
 
@@ -53,6 +59,7 @@
     void begin_ticks();
     void schedule_tick();
     void run_due();
+    void note_tick();
     /// Calls the function and logs what it throws.
     static void guard(const std::function<void()>& function);
 
@@ -61,6 +68,7 @@
     std::map<timer_id, std::function<void()>> timers;
     std::uint64_t next_number = 1;
     bool ticking = false;
+    std::deque<instant> recent_ticks;
 };
 
 /// Sets timers on behalf of one object. They are dropped when the scope is
--- a/src/libruntime/node/peer_mesh.cpp
+++ b/src/libruntime/node/peer_mesh.cpp
@@ -34,6 +34,25 @@
 /// Reason logged for a link that timed out.
 constexpr const char* timeout_reason = "silent";
 
+std::uint32_t low_bits_of_milliseconds(instant time)
+{
+    return static_cast<std::uint32_t>(
+        std::chrono::duration_cast<milliseconds>(time).count());
+}
+
+/// Returns the time with these low bits that is nearest to an earlier one. A
+/// peer that does not send its time stays without one.
+instant time_after(instant earlier, std::uint32_t low_bits)
+{
+    if (earlier.count() == 0)
+    {
+        return earlier;
+    }
+    const auto difference =
+        static_cast<std::int32_t>(low_bits - low_bits_of_milliseconds(earlier));
+    return std::chrono::floor<milliseconds>(earlier) + milliseconds(difference);
+}
+
 } // namespace
 
 class peer_mesh::link : public std::enable_shared_from_this<peer_mesh::link>
@@ -282,6 +301,7 @@
     {
         heartbeat_message heartbeat = this->own_heartbeat;
         heartbeat.interval = interval;
+        heartbeat.sent_at = event_loop::now();
         frame = encode_frame(heartbeat);
     }
     return frame;
@@ -292,7 +312,9 @@
     std::string& frame = this->alive_frames[interval];
     if (frame.empty())
     {
-        frame = encode_frame(alive_message{this->own_heartbeat.load, interval});
+        frame = encode_frame(
+            alive_message{this->own_heartbeat.load, interval,
+                          low_bits_of_milliseconds(event_loop::now())});
     }
     return frame;
 }
@@ -319,10 +341,12 @@
     const bool view_known = peer.heartbeat.accepts_alive &&
                             peer.sent_view_version == this->own_view_version;
     peer.sent_view_version = this->own_view_version;
+    const std::string& frame =
+        view_known ? this->alive_frame(peer.announced_interval)
+                   : this->heartbeat_frame(peer.announced_interval);
     // A link on which sending fails closes itself.
-    at->second->send(view_known
-                         ? this->alive_frame(peer.announced_interval)
-                         : this->heartbeat_frame(peer.announced_interval));
+    at->second->send(peer.is_holder ? frame + this->confirmation_frame(peer)
+                                    : frame);
 }
 
 void peer_mesh::send_heartbeat()
@@ -358,6 +382,10 @@
 void peer_mesh::on_job_message(peer_state& peer,
                                const dispatch_message& message)
 {
+    if (std::holds_alternative<confirm_message>(message))
+    {
+        return;
+    }
     peer.last_job = event_loop::now();
     peer.has_open_jobs =
         peer.has_open_jobs || std::holds_alternative<submit_message>(message);
@@ -367,12 +395,40 @@
 {
     const std::set<std::uint64_t> with_open_jobs =
         this->listener.links_with_open_jobs();
+    const std::set<std::uint64_t> holders = this->listener.links_to_holders();
     for (auto& [number, peer] : this->peers)
     {
         peer.has_open_jobs = with_open_jobs.count(number) > 0;
+        peer.is_holder = holders.count(number) > 0;
     }
 }
 
+void peer_mesh::update_clock_offset(peer_state& peer)
+{
+    if (peer.heartbeat.sent_at.count() == 0)
+    {
+        return;
+    }
+    const instant now = event_loop::now();
+    const microseconds offset = peer.heartbeat.sent_at - now;
+    if (!peer.clock_offset || offset >= *peer.clock_offset ||
+        now - peer.clock_offset_from > clock_offset_lifetime)
+    {
+        peer.clock_offset = offset;
+        peer.clock_offset_from = now;
+    }
+}
+
+std::string peer_mesh::confirmation_frame(const peer_state& peer) const
+{
+    if (!peer.clock_offset)
+    {
+        return {};
+    }
+    return encode_frame(confirm_message{this->loop.events().handled_until() +
+                                        *peer.clock_offset});
+}
+
 void peer_mesh::on_members(const std::vector<member_record>& announced)
 {
     const instant now = event_loop::now();
@@ -447,6 +503,9 @@
 void peer_mesh::on_tick()
 {
     this->loop.after(tick_interval, [this] { this->on_tick(); });
+    // The frames hold the time at which they were encoded.
+    this->heartbeat_frames.clear();
+    this->alive_frames.clear();
     this->close_timed_out_links();
     this->dial_missing_members();
     this->update_open_jobs();
@@ -501,6 +560,8 @@
         if (at != this->peers.end())
         {
             at->second.heartbeat.load = alive->load;
+            at->second.heartbeat.sent_at =
+                time_after(at->second.heartbeat.sent_at, alive->sent_at_ms);
             this->on_heartbeat(number, at->second, alive->interval);
         }
         return;
@@ -536,6 +597,7 @@
 {
     peer.heartbeat.interval = heartbeat_timing::clamp_interval(interval);
     peer.last_received = event_loop::now();
+    update_clock_offset(peer);
     // The listener may close the link, which erases the peer.
     const heartbeat_message heartbeat = peer.heartbeat;
     this->listener.on_heartbeat(number, heartbeat);
@@ -600,10 +662,16 @@
 
 bool peer_mesh::send(std::uint64_t number, const dispatch_message& message)
 {
+    std::string frame = encode_frame(message);
     const auto peer = this->peers.find(number);
     if (peer != this->peers.end())
     {
         on_job_message(peer->second, message);
+        if (std::holds_alternative<submit_message>(message))
+        {
+            peer->second.is_holder = true;
+            frame.insert(0, this->confirmation_frame(peer->second));
+        }
         // A holder gets the shorter interval before the job. Otherwise it would
         // notice the loss of this instance late until the next tick.
         if (this->heartbeat_interval_to(peer->second) <
@@ -617,7 +685,7 @@
     {
         return false;
     }
-    at->second->send(encode_frame(message));
+    at->second->send(frame);
     return true;
 }
 
--- a/src/libruntime/node/peer_mesh.hpp
+++ b/src/libruntime/node/peer_mesh.hpp
@@ -50,11 +50,16 @@
     /// have not ended.
     [[nodiscard]] virtual std::set<std::uint64_t>
     links_with_open_jobs() const = 0;
+    /// Returns those of them over which this instance sent the jobs.
+    [[nodiscard]] virtual std::set<std::uint64_t> links_to_holders() const = 0;
 };
 
 /// Links to all other instances, usually one TCP connection per pair. A link is
 /// closed when nothing arrives on it for `heartbeat_timing::dead_timeout` of
 /// the heartbeat interval that the peer announced.
+///
+/// A `confirm_message` precedes each job sent to a holder, and follows each
+/// heartbeat to it until the job has ended.
 class peer_mesh
 {
 public:
@@ -65,6 +70,10 @@
     /// A link that carried messages about jobs within this time is likely to
     /// carry more and gets heartbeats more often.
     static constexpr seconds recent_traffic_window{2};
+    /// The estimate of a peer's clock follows the heartbeat that was under way
+    /// for the shortest time within this time. In it, clocks drift by a few
+    /// milliseconds at most.
+    static constexpr seconds clock_offset_lifetime{10};
     /// Announcements that were not renewed for this time have expired.
     static constexpr seconds member_lifetime{18};
 
@@ -122,6 +131,11 @@
         std::uint64_t sent_view_version = 0;
         instant last_job{0};        ///< last message about a job, either way
         bool has_open_jobs = false; ///< in either direction
+        bool is_holder = false;     ///< of open jobs sent over the link
+        /// The peer's clock minus the own one, or less by the time that its
+        /// heartbeat was under way.
+        std::optional<microseconds> clock_offset;
+        instant clock_offset_from{0}; ///< when that heartbeat arrived
     };
 
     /// An instance whose link was reset and that may reconnect until a time.
@@ -150,6 +164,10 @@
     static void on_job_message(peer_state& peer,
                                const dispatch_message& message);
     void update_open_jobs();
+    static void update_clock_offset(peer_state& peer);
+    /// Returns the encoded confirmation for the peer; empty if it is of a
+    /// version that sends none itself.
+    [[nodiscard]] std::string confirmation_frame(const peer_state& peer) const;
     [[nodiscard]] milliseconds
     heartbeat_interval_to(const peer_state& peer) const;
     /// Returns the encoded heartbeat that announces the interval.
--- a/src/libruntime/node/peer_message.cpp
+++ b/src/libruntime/node/peer_message.cpp
@@ -57,6 +57,7 @@
     put_load(out.initLoad(), in.load);
     out.setIntervalMs(static_cast<std::uint32_t>(in.interval.count()));
     out.setAcceptsAlive(in.accepts_alive);
+    out.setSentAtUs(in.sent_at.count());
 }
 
 heartbeat_message get_heartbeat(Hello::Reader in)
@@ -81,6 +82,7 @@
     out.load = get_load(in.getLoad());
     out.interval = milliseconds(in.getIntervalMs());
     out.accepts_alive = in.getAcceptsAlive();
+    out.sent_at = instant(in.getSentAtUs());
     return out;
 }
 
@@ -205,6 +207,11 @@
         auto alive = this->out.initAlive();
         put_load(alive.initLoad(), in.load);
         alive.setIntervalMs(static_cast<std::uint32_t>(in.interval.count()));
+        alive.setSentAtMs(in.sent_at_ms);
+    }
+    void operator()(const confirm_message& in)
+    {
+        this->out.initConfirm().setAliveAtUs(in.alive_at.count());
     }
     void operator()(const release_message& in)
     {
@@ -233,7 +240,10 @@
                               in.getCancel().getTicket()};
     case Message::ALIVE:
         return alive_message{get_load(in.getAlive().getLoad()),
-                             milliseconds(in.getAlive().getIntervalMs())};
+                             milliseconds(in.getAlive().getIntervalMs()),
+                             in.getAlive().getSentAtMs()};
+    case Message::CONFIRM:
+        return confirm_message{instant(in.getConfirm().getAliveAtUs())};
     case Message::RELEASE:
     {
         release_message out;
--- a/src/libruntime/node/peer_message.hpp
+++ b/src/libruntime/node/peer_message.hpp
@@ -21,6 +21,9 @@
     dispatch_load load;
     milliseconds interval{0};  ///< until the next heartbeat over this link
     bool accepts_alive = true; ///< the sender decodes `alive_message`
+    /// Time on the sender's clock, at the latest when it sent this. 0: the
+    /// sender neither sends nor decodes `confirm_message`.
+    instant sent_at{0};
     bool operator==(const heartbeat_message&) const = default;
 };
 
@@ -30,9 +33,23 @@
 {
     dispatch_load load;
     milliseconds interval{0}; ///< until the next heartbeat over this link
+    /// Low bits of the time at which it was sent, as in `heartbeat_message`, in
+    /// milliseconds. The upper ones follow from the last heartbeat.
+    std::uint32_t sent_at_ms = 0;
     bool operator==(const alive_message&) const = default;
 };
 
+/// Proves to a holder that the instance which accepted its jobs is alive. It
+/// proves the same however long it is under way.
+struct confirm_message
+{
+    /// Time on the receiver's clock at which the sender was alive and had
+    /// handled what reached it before, so that it would have noticed a caller
+    /// who had left. Never ahead of the true time but by the drift of clocks.
+    instant alive_at{0};
+    bool operator==(const confirm_message&) const = default;
+};
+
 struct submit_message
 {
     std::uint64_t ticket = 0;
@@ -70,7 +87,8 @@
 
 using dispatch_message =
     std::variant<heartbeat_message, submit_message, result_message,
-                 cancel_message, release_message, alive_message>;
+                 cancel_message, release_message, alive_message,
+                 confirm_message>;
 
 /// Returns the encoded message, preceded by its length in four bytes, least
 /// significant first.
--- a/src/libruntime/node/server_session.cpp
+++ b/src/libruntime/node/server_session.cpp
@@ -1,5 +1,6 @@
 #include "node/server_session.hpp"
 
+#include "dispatch/next_attempt.hpp"
 #include "logging.hpp"
 
 #include <algorithm>
@@ -17,8 +18,6 @@
 constexpr milliseconds stop_backoff{50};
 /// Servers' clocks may be slow by 2 %, and requests take time to arrive.
 constexpr milliseconds lease_slack{60};
-/// A caller whose attempt failed tries again after this time, at any instance.
-constexpr milliseconds min_next_attempt_delay{1300};
 /// After a stop has been neither confirmed nor shown by a poll reply for this
 /// time, the run is left to end with its lease. Within it, two stop requests
 /// are answered or time out.
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -1,5 +1,6 @@
 #include "node_fixture.hpp"
 #include "peer_standin.hpp"
+#include "silent_peer.hpp"
 #include "suspension.hpp"
 
 #include <algorithm>
@@ -671,6 +672,178 @@
     BOOST_CHECK(this->results[job].outcome == job_outcome::refused);
 }
 
+/// A holder, and an accepting instance that is lost while the holder is frozen.
+struct frozen_holder_fixture : node_fixture
+{
+    frozen_holder_fixture()
+    {
+        this->add_server("s1");
+        this->start_node("a");
+        BOOST_REQUIRE(this->wait_for_servers("a", 1));
+        this->accepting.emplace(this->loop, this->member_of("a"));
+    }
+    void send_submission()
+    {
+        this->accepting->confirm();
+        this->accepting->send(this->submission_of(job, 100));
+    }
+    /// Returns the starts of the job in the time after a freeze that is longer
+    /// than callers wait before their next attempt.
+    std::size_t starts_after_freeze()
+    {
+        std::this_thread::sleep_for(milliseconds(1500));
+        this->run_for(seconds(2));
+        return this->record.starts_of(job);
+    }
+
+    static constexpr const char* job = "0000000000000002";
+    std::optional<silent_peer> accepting;
+};
+
+// Guards against a start for a caller whose next attempt may run elsewhere: a
+// holder that wakes reads the submission before it reads the end of the link.
+BOOST_FIXTURE_TEST_CASE(submission_unread_accepting_instance_ended_not_started,
+                        frozen_holder_fixture)
+{
+    this->send_submission();
+    this->accepting->close();
+    BOOST_TEST(this->starts_after_freeze() == 0U);
+}
+
+// The same, when the accepting instance lost its power, so that the link does
+// not end.
+BOOST_FIXTURE_TEST_CASE(submission_unread_accepting_instance_silent_not_started,
+                        frozen_holder_fixture)
+{
+    this->send_submission();
+    BOOST_TEST(this->starts_after_freeze() == 0U);
+}
+
+// The same for a job that waits for capacity, which is free after the freeze.
+BOOST_FIXTURE_TEST_CASE(job_waiting_accepting_instance_silent_not_started,
+                        frozen_holder_fixture)
+{
+    this->submit("a", "0000000000000001", 2, 1000);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 2; }));
+    this->send_submission();
+    BOOST_REQUIRE(this->wait([&] { return this->waiting_cpu_of("a") > 0; }));
+    BOOST_TEST(this->starts_after_freeze() == 0U);
+}
+
+// The two cases above must not keep other submissions from starting.
+BOOST_FIXTURE_TEST_CASE(submission_accepting_instance_confirmed_started,
+                        frozen_holder_fixture)
+{
+    this->send_submission();
+    BOOST_CHECK(this->wait([&] { return this->record.starts_of(job) == 1; }));
+}
+
+// An instance of an earlier version sends no confirmations.
+BOOST_FIXTURE_TEST_CASE(submission_accepting_instance_earlier_version_started,
+                        frozen_holder_fixture)
+{
+    this->accepting.emplace(this->loop, this->member_of("a"), false);
+    this->accepting->send(this->submission_of(job, 100));
+    BOOST_CHECK(this->wait([&] { return this->record.starts_of(job) == 1; }));
+}
+
+// Guards against a job that is held back although its accepting instance is
+// alive: it waits for longer than a confirmation holds.
+BOOST_AUTO_TEST_CASE(job_waiting_long_accepting_instance_alive_completes)
+{
+    this->add_server("s1");
+    this->start_node("a");
+    BOOST_REQUIRE(this->wait_for_servers("a", 1));
+    this->start_node("b");
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["b"]->node().ready(); }));
+    this->submit("a", "0000000000000001", 2, 2500);
+    BOOST_REQUIRE(this->wait([&] { return this->record.total_starts() == 2; }));
+    submit_message waiting = this->submission_of("0000000000000002", 30);
+    waiting.terms.target = seconds(8);
+    this->nodes["b"]->node().submit(waiting.request, waiting.terms,
+                                    [this](const job_result& result) {
+                                        this->results["0000000000000002"] =
+                                            result;
+                                    });
+    BOOST_REQUIRE(this->wait_for("0000000000000002"));
+    BOOST_CHECK(this->results["0000000000000002"].outcome ==
+                job_outcome::completed);
+    BOOST_TEST(this->record.starts_of("0000000000000002") == 1);
+}
+
+/// An accepting instance and a holder that records what it receives.
+struct confirming_fixture : node_fixture
+{
+    confirming_fixture()
+    {
+        this->start_node("a");
+        this->holder.emplace(this->loop, "holder", this->member_of("a"),
+                             std::vector<pool_hold>{{{"d9", 0}, 1024, true}});
+    }
+    /// Submits a job, and checks that a confirmation precedes it that is not
+    /// older than the last pass of the loop and the delay of a heartbeat.
+    void check_submission_confirmed()
+    {
+        const instant handled = this->loop.handled_until();
+        this->submit("a", "0000000000000001", 1, 30);
+        BOOST_REQUIRE(
+            this->wait([&] { return !this->holder->submissions().empty(); }));
+        const std::size_t before =
+            this->holder->confirmations_before_submission();
+        BOOST_REQUIRE(before > 0U);
+        const instant alive_at =
+            this->holder->confirmations()[before - 1].alive_at;
+        BOOST_CHECK(alive_at > handled - milliseconds(500));
+        BOOST_CHECK(alive_at <= event_loop::now());
+    }
+
+    std::optional<peer_standin> holder;
+};
+
+// Guards against first starts that wait for the next heartbeat.
+BOOST_FIXTURE_TEST_CASE(job_after_link_came_up_confirmed_before,
+                        confirming_fixture)
+{
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["a"]->node().ready(); }));
+    this->check_submission_confirmed();
+}
+
+// The same where heartbeats have been rare.
+BOOST_FIXTURE_TEST_CASE(job_after_quiet_time_confirmed_before,
+                        confirming_fixture)
+{
+    std::list<peer_standin> peers;
+    for (int i = 1; i < many_peers; ++i)
+    {
+        peers.emplace_back(this->loop, "p" + std::to_string(i),
+                           this->member_of("a"), std::vector<pool_hold>{});
+    }
+    BOOST_REQUIRE(this->wait(
+        [&] { return this->holder->announced_interval() > seconds(1); }));
+    this->run_for(peer_mesh::recent_traffic_window + seconds(1));
+    this->check_submission_confirmed();
+}
+
+// Guards against the cost of confirmations on links without open jobs.
+BOOST_FIXTURE_TEST_CASE(no_open_jobs_no_confirmations, confirming_fixture)
+{
+    BOOST_REQUIRE(this->wait([&] { return this->nodes["a"]->node().ready(); }));
+    this->run_for(seconds(1));
+    BOOST_TEST(this->holder->confirmations().empty());
+    this->submit("a", "0000000000000001", 1, 30);
+    BOOST_REQUIRE(
+        this->wait([&] { return this->holder->confirmations().size() > 2; }));
+    this->holder->send(
+        result_message{this->holder->submissions().front().ticket,
+                       {job_outcome::completed, "", milliseconds(0)},
+                       {}});
+    BOOST_REQUIRE(this->wait_for("0000000000000001"));
+    this->run_for(milliseconds(500));
+    const std::size_t sent = this->holder->confirmations().size();
+    this->run_for(seconds(1));
+    BOOST_TEST(this->holder->confirmations().size() == sent);
+}
+
 // Guards against a refusal of a job of which a task has started.
 BOOST_AUTO_TEST_CASE(no_holder_refused_and_not_run)
 {
--- a/tests/unit/dispatch/event_loop_test.cpp
+++ b/tests/unit/dispatch/event_loop_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <stdexcept>
+#include <thread>
 
 #include <boost/asio/post.hpp>
 
@@ -55,6 +56,31 @@
         loop.run_until([&] { return same_tick && later; }, wait_timeout));
 }
 
+// Guards against a confirmation, sent after a freeze, for a time in which the
+// callers may have left: their sockets are handled after it.
+BOOST_AUTO_TEST_CASE(loop_blocked_handled_until_before_that)
+{
+    event_loop loop;
+    BOOST_REQUIRE(loop.run_until(
+        [&loop] { return loop.handled_until() > instant(0); }, wait_timeout));
+    instant blocked{0};
+    instant next{0};
+    loop.after(milliseconds(0),
+               [&]
+               {
+                   blocked = event_loop::now();
+                   std::this_thread::sleep_for(milliseconds(200));
+                   loop.after(milliseconds(0),
+                              [&] { next = loop.handled_until(); });
+               });
+    BOOST_REQUIRE(
+        loop.run_until([&next] { return next > instant(0); }, wait_timeout));
+    BOOST_CHECK(next <= blocked);
+    BOOST_CHECK(loop.run_until(
+        [&] { return loop.handled_until() > blocked + milliseconds(200); },
+        wait_timeout));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubedrum
--- a/tests/unit/dispatch/node_fixture.cpp
+++ b/tests/unit/dispatch/node_fixture.cpp
@@ -115,6 +115,12 @@
     return state["total_cpu"].get<std::uint64_t>();
 }
 
+std::uint64_t node_fixture::waiting_cpu_of(const std::string& name)
+{
+    const auto state = nlohmann::json::parse(this->nodes[name]->node().dump());
+    return state["waiting_cpu"].get<std::uint64_t>();
+}
+
 std::size_t node_fixture::sessions_of(const std::string& name)
 {
     const auto state = nlohmann::json::parse(this->nodes[name]->node().dump());
--- a/tests/unit/dispatch/node_fixture.hpp
+++ b/tests/unit/dispatch/node_fixture.hpp
@@ -71,6 +71,8 @@
     /// thousandths of a core. Once jobs were submitted, the remainder of each
     /// server that is smaller than a task is not counted.
     [[nodiscard]] std::uint64_t usable_cpu_of(const std::string& name);
+    /// Returns the demand of the tasks that wait at the instance.
+    [[nodiscard]] std::uint64_t waiting_cpu_of(const std::string& name);
 
     event_loop loop;
     log_store_standin store{loop};
--- a/tests/unit/dispatch/peer_message_test.cpp
+++ b/tests/unit/dispatch/peer_message_test.cpp
@@ -51,12 +51,15 @@
                           {"s1", "s2"}};
     heartbeat.load = {100, 50, 25, 12.5};
     heartbeat.interval = milliseconds(360);
+    heartbeat.sent_at = seconds(5000);
     const std::vector<dispatch_message> messages{
         heartbeat,
         result_message{
             5, {job_outcome::refused, "busy", milliseconds(200)}, {1, 2, 3, 4}},
-        cancel_message{"id", "left", 7}, release_message{{"s1", "s2"}},
-        alive_message{{1, 2, 3, 4}, milliseconds(100)}};
+        cancel_message{"id", "left", 7},
+        release_message{{"s1", "s2"}},
+        alive_message{{1, 2, 3, 4}, milliseconds(100), 5000},
+        confirm_message{seconds(5000)}};
     for (const dispatch_message& message : messages)
     {
         BOOST_CHECK(copy_of(message) == message);
--- a/tests/unit/dispatch/peer_standin.cpp
+++ b/tests/unit/dispatch/peer_standin.cpp
@@ -50,6 +50,10 @@
 void peer_standin::send(const dispatch_message& message)
 {
     BOOST_REQUIRE(this->link);
+    if (const auto* submitted = std::get_if<submit_message>(&message))
+    {
+        this->open_tickets.insert(submitted->ticket);
+    }
     this->mesh.send(*this->link, message);
 }
 
@@ -73,12 +77,18 @@
         if (this->received.empty())
         {
             this->submission_interval = this->last_interval;
+            this->confirmed_before_submission = this->confirmed.size();
         }
         this->received.push_back(*submitted);
     }
     if (const auto* ended = std::get_if<result_message>(&message))
     {
         this->results.emplace(ended->ticket, ended->result);
+        this->open_tickets.erase(ended->ticket);
+    }
+    if (const auto* confirmation = std::get_if<confirm_message>(&message))
+    {
+        this->confirmed.push_back(*confirmation);
     }
 }
 
@@ -88,6 +98,15 @@
     this->link.reset();
 }
 
+std::set<std::uint64_t> peer_standin::links_to_holders() const
+{
+    if (!this->link || this->open_tickets.empty())
+    {
+        return {};
+    }
+    return {*this->link};
+}
+
 void peer_standin::on_peer_failed(const std::string&) {}
 
 } // namespace jujubedrum
--- a/tests/unit/dispatch/peer_standin.hpp
+++ b/tests/unit/dispatch/peer_standin.hpp
@@ -40,6 +40,16 @@
     {
         return this->submission_interval;
     }
+    /// Returns the confirmations that arrived, in order.
+    [[nodiscard]] const std::vector<confirm_message>& confirmations() const
+    {
+        return this->confirmed;
+    }
+    /// Returns the number of confirmations before the first submission.
+    [[nodiscard]] std::size_t confirmations_before_submission() const
+    {
+        return this->confirmed_before_submission;
+    }
     /// Returns the first result that arrived for a ticket.
     [[nodiscard]] std::optional<job_result>
     result_of(std::uint64_t ticket) const;
@@ -61,6 +71,7 @@
     {
         return {};
     }
+    [[nodiscard]] std::set<std::uint64_t> links_to_holders() const override;
 
 private:
     peer_mesh mesh;
@@ -70,6 +81,9 @@
     milliseconds submission_interval{0};
     std::vector<submit_message> received;
     std::map<std::uint64_t, job_result> results; ///< by ticket
+    std::set<std::uint64_t> open_tickets;        ///< of submissions by it
+    std::vector<confirm_message> confirmed;
+    std::size_t confirmed_before_submission = 0;
 };
 
 } // namespace jujubedrum
--- a/tests/unit/dispatch/pool_dispatcher_test.cpp
+++ b/tests/unit/dispatch/pool_dispatcher_test.cpp
@@ -172,6 +172,122 @@
     BOOST_TEST(this->dispatcher.idle());
 }
 
+/// A job of another instance, which sends confirmations.
+struct remote_job_fixture : dispatch_fixture
+{
+    remote_job_fixture()
+    {
+        this->add_server("s1");
+        this->dispatcher.require_confirmation(origin);
+    }
+    void submit_remote(std::uint32_t tasks = 1)
+    {
+        this->dispatcher.submit(make_job("a", tasks), make_terms(), {origin, 1},
+                                this->now);
+    }
+    void confirm(milliseconds age)
+    {
+        this->dispatcher.confirm_origin(origin, this->now - age, this->now);
+    }
+
+    static constexpr std::uint64_t origin = 7;
+};
+
+// Guards against the start of a task whose accepting instance may have been
+// lost so long ago that the caller's next attempt runs elsewhere.
+BOOST_FIXTURE_TEST_CASE(origin_confirmation_old_waits_for_a_fresh_one,
+                        remote_job_fixture)
+{
+    this->advance(seconds(2));
+    this->confirm(milliseconds(1001));
+    this->submit_remote();
+    this->advance(milliseconds(20));
+    BOOST_TEST(this->starts.empty());
+    BOOST_TEST(this->ended.empty());
+    this->confirm(milliseconds(1001));
+    BOOST_TEST(this->starts.empty());
+    this->confirm(milliseconds(400));
+    BOOST_TEST(this->starts.size() == 1);
+}
+
+// In the usual case, the confirmation before the submission is recent.
+BOOST_FIXTURE_TEST_CASE(origin_confirmed_starts_at_once, remote_job_fixture)
+{
+    this->confirm(milliseconds(500));
+    this->submit_remote();
+    BOOST_TEST(this->starts.size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(origin_never_confirmed_not_started_ends_at_limit,
+                        remote_job_fixture)
+{
+    this->submit_remote();
+    this->advance(milliseconds(1400));
+    BOOST_TEST(this->ended.empty());
+    this->advance(milliseconds(200));
+    BOOST_REQUIRE(this->result_of(1));
+    BOOST_CHECK(this->result_of(1)->outcome == job_outcome::refused);
+    BOOST_TEST(this->starts.empty());
+}
+
+// The same for a job that waited for capacity, and for a task that would start
+// again.
+BOOST_FIXTURE_TEST_CASE(origin_confirmation_became_old_no_further_start,
+                        remote_job_fixture)
+{
+    this->confirm(milliseconds(0));
+    this->submit_remote(3);
+    BOOST_REQUIRE_EQUAL(this->starts.size(), 2);
+    this->accept_all();
+    this->now += milliseconds(1001);
+    this->end_run("s1", this->starts[0].second);
+    this->end_run("s1", this->starts[1].second, run_outcome::lease_expired);
+    BOOST_TEST(this->starts.size() == 2);
+    this->confirm(milliseconds(100));
+    BOOST_TEST(this->starts.size() == 4);
+}
+
+// A confirmation that arrives late does not replace a later one.
+BOOST_FIXTURE_TEST_CASE(origin_confirmed_older_one_later_starts,
+                        remote_job_fixture)
+{
+    this->advance(seconds(3));
+    this->confirm(milliseconds(100));
+    this->confirm(milliseconds(2000));
+    this->submit_remote();
+    BOOST_TEST(this->starts.size() == 1);
+}
+
+// Guards against a wrong value that would hold for ever.
+BOOST_FIXTURE_TEST_CASE(origin_confirmed_for_the_future_not_started,
+                        remote_job_fixture)
+{
+    this->confirm(seconds(-1));
+    this->submit_remote();
+    BOOST_TEST(this->starts.empty());
+}
+
+// Links of the same number are not opened again, but the memory is freed.
+BOOST_FIXTURE_TEST_CASE(origin_disconnected_confirmation_forgotten,
+                        remote_job_fixture)
+{
+    this->confirm(milliseconds(0));
+    this->dispatcher.cancel_origin(origin, "lost", this->now);
+    this->dispatcher.require_confirmation(origin);
+    this->submit_remote();
+    BOOST_TEST(this->starts.empty());
+}
+
+// Instances of earlier versions, and this one, send no confirmations.
+BOOST_FIXTURE_TEST_CASE(origin_without_confirmations_starts_at_once,
+                        remote_job_fixture)
+{
+    this->submit(make_job("b", 1));
+    this->dispatcher.submit(make_job("c", 1), make_terms(), {origin + 1, 1},
+                            this->now);
+    BOOST_TEST(this->starts.size() == 2);
+}
+
 // Guards against two runs at a time when an id is submitted again while its old
 // run is being stopped.
 BOOST_AUTO_TEST_CASE(resubmission_old_run_stopping_waits_for_its_end)
