Stop runs of an accepting instance that is no longer confirmed

Callers could see a task run twice: messages that were held up keep the link of a lost accepting instance open, since its time-out counts from their arrival. What they sent before the loss then ran on beside the caller's next attempt, for as long as the messages were late, as did a task that started just before the last confirmation became too old.

A run now ends with the proof that allowed its start: 1 s, 40 ms until the next check, two requests of 65 ms and 50 ms for the stop are 1.22 s, less than the 1.3 s after which a caller tries again. The task waits and starts again after the next confirmation.

Ruled out: closing the link, which would end the jobs of an instance that is only slow to be heard. An instance that is silent for 875 ms loses its link as before; new is only that runs stop where messages take over half a second.

--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -33,14 +33,15 @@
 constexpr milliseconds min_retry_after{100};
 constexpr milliseconds max_retry_after{3000};
 
-/// Tasks of a remote job start only while the last confirmation of its
+/// Tasks of a remote job start and run only while the last confirmation of its
 /// accepting instance is at most this old. Confirmations follow each other
 /// after at most 300 ms and are up to 150 ms old when they are sent.
 constexpr milliseconds max_confirmation_age{1000};
-/// A server takes this long to stop a run.
-constexpr milliseconds max_stop_time{50};
-static_assert(max_confirmation_age + max_stop_time < min_next_attempt_delay,
-              "a task must not start when its next attempt may run elsewhere");
+/// Time to stop a run: two requests of 65 ms, and 50 ms at the server.
+constexpr milliseconds max_stop_time{180};
+static_assert(max_confirmation_age + overdue_check_interval + max_stop_time <
+                  min_next_attempt_delay,
+              "a run must end before its next attempt may run elsewhere");
 /// Confirmations may be ahead of the own clock by the drift of the clocks. One
 /// that is further ahead shows that a clock stood still.
 constexpr milliseconds max_clock_drift{50};
@@ -770,6 +771,19 @@
     }
 }
 
+void pool_dispatcher::stop_unconfirmed(const held_server& server, instant now)
+{
+    const std::vector<task_ref> runs = server.runs;
+    for (const task_ref& ref : runs)
+    {
+        if (ref.task().state != task_state::stopping &&
+            !this->is_confirmed(*ref.job, now))
+        {
+            this->stop_run(ref, now);
+        }
+    }
+}
+
 void pool_dispatcher::pump(instant now)
 {
     this->check_deadlines(now);
@@ -802,6 +816,7 @@
         for (auto& [id, server] : this->servers)
         {
             this->check_overdue(id, server, now);
+            this->stop_unconfirmed(server, now);
         }
     }
 }
--- a/src/libjujubedrum/dispatch/pool_dispatcher.hpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.hpp
@@ -58,8 +58,8 @@
 ///
 /// A task is started again only after a poll reply of its server shows that its
 /// last run is not there and can no longer appear. Tasks of another instance's
-/// job start only while that instance is confirmed to be alive: when it is
-/// lost, the caller's next attempt may run elsewhere after
+/// job start and run only while that instance is confirmed to be alive: when it
+/// is lost, the caller's next attempt may run elsewhere after
 /// `min_next_attempt_delay`.
 class pool_dispatcher
 {
@@ -91,9 +91,9 @@
     void cancel_origin(std::uint64_t instance, std::string_view reason,
                        instant now);
 
-    /// From now on, tasks of the instance's jobs start only while its last
-    /// confirmation is recent. Without this call, as for local jobs and for
-    /// instances that send no confirmations, they always may.
+    /// From now on, tasks of the instance's jobs start and run only while its
+    /// last confirmation is recent. Without this call, as for local jobs and
+    /// for instances that send no confirmations, they always may.
     void require_confirmation(std::uint64_t instance);
     /// The instance was alive at this time on the clock of `now`, and had
     /// handled what reached it before: no caller of its open jobs had left.
@@ -159,6 +159,9 @@
     void on_end(const task_ref& ref, run_outcome outcome, instant now);
     void on_done(const task_ref& ref, instant now);
     void on_failure(const task_ref& ref, instant now);
+    /// Stops the runs of jobs whose accepting instance is not confirmed. Their
+    /// tasks start again after its next confirmation.
+    void stop_unconfirmed(const held_server& server, instant now);
     void check_overdue(const std::string& id, held_server& server, instant now);
     /// Reports the result of a job and stops its runs. A job of which a task
     /// may have started, or that has runs of an earlier attempt, ends as
--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -730,7 +730,30 @@
     BOOST_TEST(this->starts_after_freeze() == 0U);
 }
 
-// The two cases above must not keep other submissions from starting.
+// Guards against a run beside the caller's next attempt: heartbeats that were
+// held up keep the link of a lost accepting instance open.
+BOOST_FIXTURE_TEST_CASE(job_running_accepting_instance_held_up_run_stopped,
+                        frozen_holder_fixture)
+{
+    this->accepting->confirm();
+    this->accepting->send(
+        this->submission_of(job, 60000, 1, milliseconds(60000)));
+    BOOST_REQUIRE(this->wait([&] { return this->record.starts_of(job) == 1; }));
+    instant next_heartbeat{0};
+    BOOST_CHECK(this->wait(
+        [&]
+        {
+            if (event_loop::now() >= next_heartbeat)
+            {
+                next_heartbeat = event_loop::now() + milliseconds(500);
+                this->accepting->send(alive_message{});
+            }
+            return !this->record.runs(job);
+        }));
+    BOOST_TEST(this->record.starts_of(job) == 1U);
+}
+
+// The cases above must not keep other submissions from starting.
 BOOST_FIXTURE_TEST_CASE(submission_accepting_instance_confirmed_started,
                         frozen_holder_fixture)
 {
--- a/tests/unit/dispatch/pool_dispatcher_test.cpp
+++ b/tests/unit/dispatch/pool_dispatcher_test.cpp
@@ -247,6 +247,27 @@
     BOOST_TEST(this->starts.size() == 4);
 }
 
+// Guards against a run that goes on beside the caller's next attempt: the
+// messages of the lost accepting instance arrived late, so that its link seems
+// alive.
+BOOST_FIXTURE_TEST_CASE(origin_confirmation_became_old_run_stopped,
+                        remote_job_fixture)
+{
+    this->confirm(milliseconds(0));
+    this->submit_remote();
+    this->accept_all();
+    this->advance(milliseconds(990));
+    BOOST_TEST(this->stops.empty());
+    this->advance(milliseconds(60));
+    BOOST_REQUIRE_EQUAL(this->stops.size(), 1);
+    this->advance(milliseconds(60));
+    BOOST_TEST(this->stops.size() == 1);
+    this->end_run("s1", this->starts[0].second, run_outcome::stopped);
+    BOOST_TEST(this->starts.size() == 1);
+    this->confirm(milliseconds(100));
+    BOOST_TEST(this->starts.size() == 2);
+}
+
 // A confirmation that arrives late does not replace a later one.
 BOOST_FIXTURE_TEST_CASE(origin_confirmed_older_one_later_starts,
                         remote_job_fixture)
