--- a/src/libruntime/node/dispatch.capnp
+++ b/src/libruntime/node/dispatch.capnp
@@ -27,6 +27,7 @@
   linkKbps @9 :UInt32;
   acceptsAlive @10 :Bool;
   serverNumber @11 :UInt64;  # 0 in messages of earlier versions
+  sentAtUs @12 :Int64;  # on the sender's clock; 0: sends no Confirm
 }
 
 # A heartbeat of an instance whose Hello is still valid but for these fields.
@@ -34,6 +35,13 @@
 struct Alive {
   load @0 :Load;
   intervalMs @1 :UInt32;
+  sentAtMs @2 :UInt32;  # low bits of the time in milliseconds
+}
+
+# The sender was alive at this time on the receiver's clock, and had handled
+# what reached it before. Sent only to peers whose Hello has sentAtUs.
+struct Confirm {
+  aliveAtUs @0 :Int64;
 }
 
 struct Load {
@@ -103,5 +111,6 @@
     release @4 :Release;
     alive @5 :Alive;
     seen @6 :Seen;
+    confirm @7 :Confirm;
   }
 }
--- a/src/libruntime/node/job_router.cpp
+++ b/src/libruntime/node/job_router.cpp
@@ -534,12 +534,13 @@
     {
         return;
     }
+    const instance_view& before = disconnected.instance;
     const auto holder =
         std::find_if(this->peers.begin(), this->peers.end(),
-                     [&disconnected](const auto& peer)
+                     [&before](const auto& peer)
                      {
-                         return pool_election::same_holder(
-                             disconnected.instance, peer.second.instance);
+                         return peer.second.instance.name == before.name &&
+                                peer.second.instance.boot == before.boot;
                      });
     if (holder == this->peers.end())
     {
@@ -550,7 +551,7 @@
         return;
     }
     job.link = holder->first;
-    job.holder = disconnected.instance.name;
+    job.holder = before.name;
     job.tried_holders.insert(job.holder);
     this->send_to_holder(ticket, job);
 }
--- a/src/libruntime/node/peer_message.cpp
+++ b/src/libruntime/node/peer_message.cpp
@@ -89,6 +89,7 @@
     out.setIntervalMs(static_cast<std::uint32_t>(in.interval.count()));
     out.setAcceptsAlive(in.accepts_alive);
     out.setServerNumber(in.instance.server_number);
+    out.setSentAtUs(in.sent_at.count());
 }
 
 heartbeat_message get_heartbeat(Hello::Reader in)
@@ -115,6 +116,7 @@
     out.interval = milliseconds(in.getIntervalMs());
     out.accepts_alive = in.getAcceptsAlive();
     out.instance.server_number = in.getServerNumber();
+    out.sent_at = instant(in.getSentAtUs());
     return out;
 }
 
@@ -241,6 +243,11 @@
         auto alive = this->out.initAlive();
         put_load(alive.initLoad(), in.load);
         alive.setIntervalMs(static_cast<std::uint32_t>(in.interval.count()));
+        alive.setSentAtMs(in.sent_at_ms);
+    }
+    void operator()(const confirm_message& in)
+    {
+        this->out.initConfirm().setAliveAtUs(in.alive_at.count());
     }
     void operator()(const seen_message& in)
     {
@@ -273,9 +280,12 @@
                               in.getCancel().getTicket()};
     case Message::ALIVE:
         return alive_message{get_load(in.getAlive().getLoad()),
-                             milliseconds(in.getAlive().getIntervalMs())};
+                             milliseconds(in.getAlive().getIntervalMs()),
+                             in.getAlive().getSentAtMs()};
     case Message::SEEN:
         return seen_message{in.getSeen().getServerNumber()};
+    case Message::CONFIRM:
+        return confirm_message{instant(in.getConfirm().getAliveAtUs())};
     case Message::RELEASE:
     {
         release_message out;
