Add an option for the profile of a soak run, and trace its runs

To trace a report of two runs, the soak writes runs.txt beside faults.txt, with a line for each start and end of a run; both have the time of day, as the logs of instances.

--- a/standins/users/task_server_standin.cpp
+++ b/standins/users/task_server_standin.cpp
@@ -31,6 +31,7 @@
 void run_recorder::on_start(const std::string& task, const std::string& payload,
                             const std::string& server)
 {
+    this->write_trace("start", task, server);
     ++this->starts;
     ++this->starts_by_job[job_of(task)];
     const auto expected_payload = this->expected.find(job_of(task));
@@ -52,6 +53,7 @@
 
 void run_recorder::on_end(const std::string& task, const std::string& server)
 {
+    this->write_trace("end", task, server);
     const auto at = this->running.find(task);
     if (at != this->running.end() && at->second == server)
     {
@@ -59,6 +61,16 @@
     }
 }
 
+void run_recorder::write_trace(const char* event, const std::string& task,
+                               const std::string& server)
+{
+    if (this->trace != nullptr)
+    {
+        *this->trace << event_loop::wall_now().count() << " " << event << " "
+                     << task << " " << server << "\n";
+    }
+}
+
 std::uint64_t run_recorder::starts_of(const std::string& job) const
 {
     const auto at = this->starts_by_job.find(job);
--- a/standins/users/task_server_standin.hpp
+++ b/standins/users/task_server_standin.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <ostream>
 #include <string>
 #include <vector>
 
@@ -33,8 +34,15 @@
     /// Sets the payload that tasks of a job must be started with. Starts with
     /// another payload, or of a job without one, are violations.
     void expect(const std::string& job, const std::string& payload);
+    /// Writes a line for each start and end of a run, with the time of day in
+    /// milliseconds. The stream must outlive the recorder's use.
+    void trace_to(std::ostream& out) { this->trace = &out; }
 
 private:
+    void write_trace(const char* event, const std::string& task,
+                     const std::string& server);
+
+    std::ostream* trace = nullptr;
     std::map<std::string, std::string> running; ///< server by task
     std::map<std::string, std::uint64_t> starts_by_job;
     std::map<std::string, std::string> expected; ///< payload by job
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,6 +1,7 @@
 #include "soak_callers.hpp"
 #include "soak_cluster.hpp"
 #include "soak_faults.hpp"
+#include "soak_profile.hpp"
 
 #include <charconv>
 #include <fstream>
@@ -29,6 +30,7 @@
     std::vector<std::uint64_t> seeds;
     milliseconds duration{20000};
     std::uint32_t jobs_per_second = 60;
+    soak_profile profile = soak_profile::standard;
 };
 
 /// Returns a loopback address derived from the process id, which no other soak
@@ -71,13 +73,16 @@
 {
     std::filesystem::create_directories(folder);
     std::ofstream report(folder / "faults.txt");
+    std::ofstream runs(folder / "runs.txt");
     event_loop loop;
     random_source random(seed);
     cluster_options options;
     options.program = plan.program;
     options.folder = folder;
     options.address = unique_loopback_address();
+    options.profile = plan.profile;
     soak_cluster cluster(loop, options);
+    cluster.recorder().trace_to(runs);
     soak_callers callers(loop, cluster, random, options.address,
                          plan.jobs_per_second);
     std::vector<std::string> violations;
@@ -89,7 +94,7 @@
             "probe jobs in time");
         return violations;
     }
-    soak_faults injector(loop, cluster, random, report);
+    soak_faults injector(loop, cluster, random, plan.profile, report);
     callers.start();
     injector.start();
     const instant end_time = event_loop::now() + plan.duration;
@@ -152,11 +157,23 @@
     return seeds;
 }
 
+/// Returns false if there is no profile of this name.
+bool parse_profile(const std::string& name, soak_profile& profile)
+{
+    if (name != "standard" && name != "overlap")
+    {
+        return false;
+    }
+    profile =
+        name == "overlap" ? soak_profile::overlap : soak_profile::standard;
+    return true;
+}
+
 void print_usage(std::ostream& out)
 {
     out << "usage: node_soak --node PROGRAM [--seconds N] [--rate N]\n"
            "                 [--seeds A,B,...] [--seeds-file FILE]\n"
-           "                 [--fresh COUNT]\n"
+           "                 [--fresh COUNT] [--profile standard|overlap]\n"
            "Runs instances as child processes, injects faults drawn from each\n"
            "seed and checks replies to callers and runs on backend servers.\n"
            "Exit status: 0 no violation, 1 violation found, 2 usage error.\n";
@@ -173,9 +190,10 @@
                               {"seeds", required_argument, nullptr, 's'},
                               {"seeds-file", required_argument, nullptr, 'f'},
                               {"fresh", required_argument, nullptr, 'x'},
+                              {"profile", required_argument, nullptr, 'p'},
                               {nullptr, 0, nullptr, 0}};
-    for (int c = 0;
-         (c = getopt_long(argc, argv, "n:t:r:s:f:x:", options, nullptr)) != -1;)
+    for (int c = 0; (c = getopt_long(argc, argv, "n:t:r:s:f:x:p:", options,
+                                     nullptr)) != -1;)
     {
         switch (c)
         {
@@ -201,6 +219,13 @@
                 plan.seeds.push_back(std::random_device()());
             }
             break;
+        case 'p':
+            if (!parse_profile(optarg, plan.profile))
+            {
+                print_usage(std::cerr);
+                return 2;
+            }
+            break;
         default:
             print_usage(std::cerr);
             return 2;
--- a/tests/soak/soak_cluster.hpp
+++ b/tests/soak/soak_cluster.hpp
@@ -2,6 +2,7 @@
 
 #include "fault_relay.hpp"
 #include "node_process.hpp"
+#include "soak_profile.hpp"
 #include "users/log_store_standin.hpp"
 #include "users/task_server_standin.hpp"
 
@@ -26,6 +27,7 @@
     std::size_t nodes = 6;
     std::size_t servers = 12;
     std::size_t domains = 2;
+    soak_profile profile = soak_profile::standard;
 };
 
 /// Runs instances as child processes. The log store and the backend servers are
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -6,10 +6,12 @@
 {
 
 soak_faults::soak_faults(event_loop& events, soak_cluster& target,
-                         random_source& source, std::ostream& out)
+                         random_source& source, soak_profile kinds,
+                         std::ostream& out)
     : loop(events)
     , cluster(target)
     , random(source)
+    , profile(kinds)
     , report(out)
     , start_time(event_loop::now())
 {
@@ -36,7 +38,8 @@
 {
     const auto elapsed = std::chrono::duration_cast<milliseconds>(
         event_loop::now() - this->start_time);
-    this->report << elapsed.count() << " ms " << description << "\n"
+    this->report << event_loop::wall_now().count() << " " << elapsed.count()
+                 << " ms " << description << "\n"
                  << std::flush;
 }
 
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -11,12 +11,13 @@
 
 /// Injects faults into a cluster, one by one or overlapping. Their kinds,
 /// targets, times and durations are drawn from `random`. Writes a line to
-/// `report` for each fault, with the time since creation in milliseconds.
+/// `report` for each fault, with the time of day and that since creation in
+/// milliseconds.
 class soak_faults
 {
 public:
     soak_faults(event_loop& loop, soak_cluster& cluster, random_source& random,
-                std::ostream& report);
+                soak_profile profile, std::ostream& report);
 
     void start();
     void stop() { this->active = false; }
@@ -36,6 +37,7 @@
     loop_scope loop;
     soak_cluster& cluster;
     random_source& random;
+    soak_profile profile;
     std::ostream& report;
     instant start_time;
     bool active = true;
