Cut paths between some instances and some servers in the soak

All instances shared the relay of a backend server, so a server was cut from all of them or from none.

In the overlap profile each pair of an instance and a server has a relay of its own, in front of the one of the server. An instance finds its relays in the entries of the servers: the stand-in of the store listens on a port for each instance and changes the addresses there. A fault cuts 1 to 3 instances from up to half of the servers, for 0.3 to 6 s, one way or both. The new relays forward without a tick of the event loop (10 ms), so that two in a row delay requests as one does.

--- a/standins/users/log_store_standin.cpp
+++ b/standins/users/log_store_standin.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr milliseconds read_expiry_interval{10};
+const char* const servers_topic = "keyed.servers";
 
 std::string big_endian(std::uint64_t value, std::size_t bytes)
 {
@@ -94,13 +95,26 @@
     return result;
 }
 
+/// Returns the record of a backend server with its entry filtered. A record is
+/// the length of the key in one byte, the key and the value, which is empty if
+/// the key was removed.
+std::string filter_record(const std::string& record,
+                          const log_store_standin::entry_filter& filter)
+{
+    const std::size_t key_size = static_cast<unsigned char>(record.at(0));
+    const std::string key = record.substr(1, key_size);
+    const std::string value = record.substr(1 + key_size);
+    return value.empty() ? record
+                         : record.substr(0, 1 + key_size) + filter(key, value);
+}
+
 } // namespace
 
 log_store_standin::log_store_standin(event_loop& events)
     : loop(events)
     , server(events, "X-None",
              [this](const http_request& request, const auto& responder)
-             { this->serve(request, responder); })
+             { this->serve(request, responder, nullptr); })
 {
 }
 
@@ -110,8 +124,26 @@
     return this->server.listen("127.0.0.1", 0);
 }
 
+std::uint16_t log_store_standin::listen_filtered(entry_filter filter)
+{
+    auto access = std::make_unique<filtered_access>();
+    access->filter = std::move(filter);
+    access->server = std::make_unique<http_server>(
+        this->loop, "X-None",
+        [this, used = &access->filter](const http_request& request,
+                                       const auto& responder)
+        { this->serve(request, responder, used); });
+    if (!access->server->listen("127.0.0.1", 0))
+    {
+        return 0;
+    }
+    this->filtered.push_back(std::move(access));
+    return this->filtered.back()->server->port();
+}
+
 void log_store_standin::serve(const http_request& request,
-                              const std::shared_ptr<http_responder>& responder)
+                              const std::shared_ptr<http_responder>& responder,
+                              const entry_filter* filter)
 {
     ++this->call_count;
     if (this->active_fault == fault::unresponsive)
@@ -134,9 +166,9 @@
     {
         this->loop.after(
             this->newest_delay,
-            [this, name, responder,
+            [this, name, responder, filter,
              after = decode_percent(parameter(request.target, "after"))]
-            { this->answer_newest(name, after, responder); });
+            { this->answer_newest(name, after, filter, responder); });
         return;
     }
     std::uint64_t from = 0;
@@ -150,7 +182,7 @@
         return;
     }
     (void)parse_number(parameter(request.target, "waitMs"), wait);
-    this->read(name, from, milliseconds(wait), responder);
+    this->read({name, from, responder, instant{0}, filter}, milliseconds(wait));
 }
 
 void log_store_standin::append(const std::string& name, const std::string& body,
@@ -208,7 +240,7 @@
 void log_store_standin::write_server(const std::string& id,
                                      const std::string& entry)
 {
-    this->put_keyed("keyed.servers", id, entry);
+    this->put_keyed(servers_topic, id, entry);
 }
 
 void log_store_standin::compact()
@@ -220,42 +252,45 @@
     }
 }
 
-void log_store_standin::read(const std::string& name, std::uint64_t from,
-                             milliseconds wait,
-                             const std::shared_ptr<http_responder>& responder)
+void log_store_standin::read(waiting_read request, milliseconds wait)
 {
-    const topic& target = this->topics[name];
-    if (wait.count() == 0 || from < target.end())
+    if (wait.count() == 0 || request.from < this->topics[request.name].end())
     {
-        this->answer_read(name, from, responder);
+        this->answer_read(request);
         return;
     }
-    this->reads.push_back({name, from, responder, event_loop::now() + wait});
+    request.until = event_loop::now() + wait;
+    this->reads.push_back(std::move(request));
 }
 
-void log_store_standin::answer_read(
-    const std::string& name, std::uint64_t from,
-    const std::shared_ptr<http_responder>& responder)
+void log_store_standin::answer_read(const waiting_read& request)
 {
-    const topic& target = this->topics[name];
-    if (from < target.first)
+    const topic& target = this->topics[request.name];
+    if (request.from < target.first)
     {
-        responder->answer(
+        request.responder->answer(
             {410, nlohmann::json{{"first", target.first}}.dump()});
         return;
     }
     std::string body =
         big_endian(target.end(), 8) + big_endian(target.first, 8);
-    for (std::uint64_t at = from; at < target.end(); ++at)
+    const bool filters =
+        request.filter != nullptr && request.name == servers_topic;
+    for (std::uint64_t at = request.from; at < target.end(); ++at)
     {
-        const std::string& record = target.records[at - target.first];
+        std::string record = target.records[at - target.first];
+        if (filters)
+        {
+            record = filter_record(record, *request.filter);
+        }
         body += big_endian(record.size(), 4) + record;
     }
-    responder->answer({200, body});
+    request.responder->answer({200, body});
 }
 
 void log_store_standin::answer_newest(
     const std::string& name, const std::string& after,
+    const entry_filter* filter,
     const std::shared_ptr<http_responder>& responder)
 {
     const topic& target = this->topics[name];
@@ -264,9 +299,11 @@
                             : target.newest.upper_bound(after);
     for (; at != target.newest.end() && items.size() < this->page_size; ++at)
     {
-        items.push_back({{"key", at->first},
-                         {"value", to_base64(at->second)},
-                         {"offset", 0}});
+        const bool filters = filter != nullptr && name == servers_topic;
+        const std::string value =
+            filters ? (*filter)(at->first, at->second) : at->second;
+        items.push_back(
+            {{"key", at->first}, {"value", to_base64(value)}, {"offset", 0}});
     }
     responder->answer(
         {200, nlohmann::json{{"items", items},
@@ -283,7 +320,7 @@
     {
         if (each.from < this->topics[each.name].end())
         {
-            this->answer_read(each.name, each.from, each.responder);
+            this->answer_read(each);
             continue;
         }
         this->reads.push_back(each);
@@ -299,7 +336,7 @@
     {
         if (each.until <= now)
         {
-            this->answer_read(each.name, each.from, each.responder);
+            this->answer_read(each);
             continue;
         }
         this->reads.push_back(each);
--- a/standins/users/log_store_standin.hpp
+++ b/standins/users/log_store_standin.hpp
@@ -4,6 +4,7 @@
 #include "node/http_server.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -26,12 +27,19 @@
         lost_replies, ///< appends take effect but get no reply
     };
 
+    /// Returns the entry of a backend server as some readers get it.
+    using entry_filter = std::function<std::string(const std::string& id,
+                                                   const std::string& entry)>;
+
     explicit log_store_standin(event_loop& loop);
 
     /// Listens on a free port of the loopback address. Returns false on
     /// failure.
     bool listen();
     [[nodiscard]] std::uint16_t port() const { return this->server.port(); }
+    /// Listens on a further port, whose readers get filtered entries of backend
+    /// servers. Returns the port, or 0 on failure.
+    std::uint16_t listen_filtered(entry_filter filter);
     void set_fault(fault value) { this->active_fault = value; }
     /// Publishes a configuration under the key that operators write.
     void publish(const std::string& config_json);
@@ -65,17 +73,23 @@
         std::uint64_t from = 0;
         std::shared_ptr<http_responder> responder;
         instant until{0};
+        const entry_filter* filter = nullptr; ///< null: entries as written
+    };
+    struct filtered_access
+    {
+        entry_filter filter;
+        std::unique_ptr<http_server> server;
     };
 
     void serve(const http_request& request,
-               const std::shared_ptr<http_responder>& responder);
+               const std::shared_ptr<http_responder>& responder,
+               const entry_filter* filter);
     void append(const std::string& name, const std::string& body,
                 const std::shared_ptr<http_responder>& responder);
-    void read(const std::string& name, std::uint64_t from, milliseconds wait,
-              const std::shared_ptr<http_responder>& responder);
-    void answer_read(const std::string& name, std::uint64_t from,
-                     const std::shared_ptr<http_responder>& responder);
+    void read(waiting_read request, milliseconds wait);
+    void answer_read(const waiting_read& request);
     void answer_newest(const std::string& name, const std::string& after,
+                       const entry_filter* filter,
                        const std::shared_ptr<http_responder>& responder);
     void append_record(const std::string& name, const std::string& record);
     void put_keyed(const std::string& name, const std::string& key,
@@ -88,6 +102,7 @@
     event_loop& loop;
     milliseconds newest_delay{0};
     http_server server;
+    std::vector<std::unique_ptr<filtered_access>> filtered;
     std::map<std::string, topic> topics;
     std::vector<waiting_read> reads;
     fault active_fault = fault::none;
--- a/tests/soak/fault_relay.cpp
+++ b/tests/soak/fault_relay.cpp
@@ -100,6 +100,11 @@
             this->pump(forward);
             return;
         }
+        if (this->owner->at_once && this->owner->forwarding_delay.count() == 0)
+        {
+            this->write_bytes(forward, size);
+            return;
+        }
         this->owner->loop.after(this->owner->forwarding_delay,
                                 [self = this->shared_from_this(), forward, size]
                                 { self->write_bytes(forward, size); });
--- a/tests/soak/fault_relay.hpp
+++ b/tests/soak/fault_relay.hpp
@@ -27,6 +27,9 @@
     /// connections. Discarded bytes are not delivered later.
     /// \param forward from the connecting side to the target.
     void blackhole(bool forward, bool backward);
+    /// Forwards data that is not delayed at once, not with the next tick of the
+    /// event loop, so that relays in a row cost the time of one.
+    void forward_at_once() { this->at_once = true; }
     /// Delays each chunk of data, in both directions.
     void set_delay(milliseconds duration) { this->forwarding_delay = duration; }
     /// Black-holes both directions of all open connections; heal() does not
@@ -50,6 +53,7 @@
     bool forward_blackholed = false;
     bool backward_blackholed = false;
     milliseconds forwarding_delay{0};
+    bool at_once = false;
 };
 
 } // namespace jujubedrum
--- a/tests/soak/soak_cluster.cpp
+++ b/tests/soak/soak_cluster.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <map>
 #include <stdexcept>
 
 #include <nlohmann/json.hpp>
@@ -84,8 +85,11 @@
     added.operators_port = free_port(this->loop.events(), options.address);
     added.peer_relay = std::make_unique<fault_relay>(
         this->loop.events(), options.address, peers_port);
-    added.store_relay = std::make_unique<fault_relay>(
-        this->loop.events(), "127.0.0.1", this->store_standin.port());
+    const std::uint16_t store_port = options.profile == soak_profile::standard
+                                         ? this->store_standin.port()
+                                         : this->add_server_paths(added);
+    added.store_relay = std::make_unique<fault_relay>(this->loop.events(),
+                                                      "127.0.0.1", store_port);
     const std::filesystem::path settings = options.folder / (name + ".json");
     std::ofstream(settings) << nlohmann::json{
         {"instance", name},
@@ -106,6 +110,33 @@
     this->node_list.push_back(std::move(added));
 }
 
+std::uint16_t soak_cluster::add_server_paths(node& instance)
+{
+    std::map<std::string, std::uint16_t> ports;
+    for (const server& each : this->server_list)
+    {
+        auto path = std::make_unique<fault_relay>(
+            this->loop.events(), "127.0.0.1", each.relay->port());
+        path->forward_at_once();
+        ports.emplace(each.standin->id(), path->port());
+        instance.server_paths.push_back(std::move(path));
+    }
+    const std::uint16_t port = this->store_standin.listen_filtered(
+        [ports](const std::string& id, const std::string& entry)
+        {
+            auto changed = nlohmann::json::parse(entry);
+            changed["address"] = loopback_endpoint(ports.at(id));
+            return changed.dump();
+        });
+    if (port == 0)
+    {
+        throw std::runtime_error(
+            "log store stand-in failed to listen on a further loopback port; "
+            "soak run aborted");
+    }
+    return port;
+}
+
 void soak_cluster::write_entry(const server& backend)
 {
     this->store_standin.write_server(
@@ -164,6 +195,10 @@
     {
         each.peer_relay->heal();
         each.store_relay->heal();
+        for (const auto& path : each.server_paths)
+        {
+            path->heal();
+        }
         each.process->signal(SIGCONT);
     }
 }
--- a/tests/soak/soak_cluster.hpp
+++ b/tests/soak/soak_cluster.hpp
@@ -41,6 +41,9 @@
         std::unique_ptr<node_process> process;
         std::unique_ptr<fault_relay> peer_relay;
         std::unique_ptr<fault_relay> store_relay;
+        /// Paths to the backend servers, by index of the server; empty in the
+        /// standard profile, where instances share the relays of servers.
+        std::vector<std::unique_ptr<fault_relay>> server_paths;
         std::uint16_t callers_port = 0;
         std::uint16_t operators_port = 0;
         /// Restarted on exit; false while a restart is pending.
@@ -70,6 +73,9 @@
 
 private:
     void add_node(const cluster_options& options, std::size_t index);
+    /// Adds a relay from the instance to each backend server. Returns the port
+    /// of the store where the entries name these relays.
+    std::uint16_t add_server_paths(node& instance);
     void refresh_entries();
     void watch_processes();
 
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -1,10 +1,28 @@
 #include "soak_faults.hpp"
 
 #include <csignal>
+#include <numeric>
+#include <utility>
 
 namespace jujubedrum
 {
 
+namespace
+{
+
+std::string list_names(const std::string& prefix,
+                       const std::vector<std::size_t>& indices)
+{
+    std::string names;
+    for (const std::size_t index : indices)
+    {
+        names += prefix + std::to_string(index);
+    }
+    return names;
+}
+
+} // namespace
+
 soak_faults::soak_faults(event_loop& events, soak_cluster& target,
                          random_source& source, soak_profile kinds,
                          std::ostream& out)
@@ -49,7 +67,14 @@
     {
         return;
     }
-    this->inject_random_fault();
+    if (this->profile == soak_profile::overlap && this->random.below(2) == 0)
+    {
+        this->inject_overlapping_fault();
+    }
+    else
+    {
+        this->inject_random_fault();
+    }
     this->schedule(this->random_duration(100, 1500),
                    [this] { this->inject_next(); });
 }
@@ -73,6 +98,53 @@
     }
 }
 
+void soak_faults::inject_overlapping_fault()
+{
+    this->cut_server_paths();
+}
+
+std::vector<std::size_t> soak_faults::random_indices(std::size_t size,
+                                                     std::size_t count)
+{
+    std::vector<std::size_t> all(size);
+    std::iota(all.begin(), all.end(), std::size_t{0});
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        std::swap(all[i], all[i + this->random.below(size - i)]);
+    }
+    all.resize(count);
+    return all;
+}
+
+void soak_faults::cut_server_paths()
+{
+    constexpr std::size_t max_nodes = 3;
+    const auto nodes = this->random_indices(this->cluster.nodes().size(),
+                                            1 + this->random.below(max_nodes));
+    const std::size_t server_count = this->cluster.servers().size();
+    const auto servers = this->random_indices(
+        server_count, 1 + this->random.below(server_count / 2));
+    const auto mode = this->random.below(3);
+    const bool forward = mode != 0;
+    const bool backward = mode != 1;
+    const auto duration = this->random_duration(300, 6000);
+    this->log_fault("black-hole paths of" + list_names(" n", nodes) + " to" +
+                    list_names(" s", servers) +
+                    ", requests: " + std::to_string(forward) +
+                    ", replies: " + std::to_string(backward) +
+                    ", time in ms: " + std::to_string(duration.count()));
+    for (const std::size_t node : nodes)
+    {
+        for (const std::size_t server : servers)
+        {
+            fault_relay& path =
+                *this->cluster.nodes()[node].server_paths[server];
+            path.blackhole(forward, backward);
+            this->schedule(duration, [&path] { path.heal(); });
+        }
+    }
+}
+
 void soak_faults::inject_node_fault()
 {
     const auto index = this->random.below(this->cluster.nodes().size());
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -4,7 +4,10 @@
 
 #include "base/random_source.hpp"
 
+#include <cstddef>
 #include <ostream>
+#include <string>
+#include <vector>
 
 namespace jujubedrum
 {
@@ -25,12 +28,20 @@
 private:
     void inject_next();
     void inject_random_fault();
+    /// Injects a fault of the kinds that only the overlap profile has.
+    void inject_overlapping_fault();
+    /// Black-holes paths between some instances and some backend servers, one
+    /// way or both; other instances reach these servers.
+    void cut_server_paths();
     void inject_node_fault();
     void inject_link_fault();
     void inject_server_fault();
     void inject_store_fault();
     /// Returns a duration from `min_ms` up to, not including, `max_ms`.
     milliseconds random_duration(std::uint64_t min_ms, std::uint64_t max_ms);
+    /// Returns `count` different indices below `size`.
+    std::vector<std::size_t> random_indices(std::size_t size,
+                                            std::size_t count);
     void schedule(milliseconds delay, std::function<void()> function);
     void log_fault(const std::string& description);
 
