Stop instances of the soak in turn, in overlapping grace periods

Stops rarely overlapped: one in 16 faults was a graceful stop of one instance.

The overlap profile stops 2 to 4 of the 6 instances, 50 to 1500 ms apart, which is below the grace period of 6 s.

--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -100,7 +100,15 @@
 
 void soak_faults::inject_overlapping_fault()
 {
-    this->cut_server_paths();
+    switch (this->random.below(2))
+    {
+    case 0:
+        this->cut_server_paths();
+        return;
+    default:
+        this->stop_in_turn();
+        return;
+    }
 }
 
 std::vector<std::size_t> soak_faults::random_indices(std::size_t size,
@@ -145,6 +153,26 @@
     }
 }
 
+void soak_faults::stop_in_turn()
+{
+    const std::size_t max_nodes = this->cluster.nodes().size() - 2;
+    const auto nodes = this->random_indices(
+        this->cluster.nodes().size(), 2 + this->random.below(max_nodes - 1));
+    milliseconds delay{0};
+    for (const std::size_t index : nodes)
+    {
+        soak_cluster::node& node = this->cluster.nodes()[index];
+        this->schedule(delay,
+                       [this, &node, index]
+                       {
+                           this->log_fault("stop in turn n" +
+                                           std::to_string(index));
+                           node.process->signal(SIGTERM);
+                       });
+        delay += this->random_duration(50, 1500);
+    }
+}
+
 void soak_faults::inject_node_fault()
 {
     const auto index = this->random.below(this->cluster.nodes().size());
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -33,6 +33,9 @@
     /// Black-holes paths between some instances and some backend servers, one
     /// way or both; other instances reach these servers.
     void cut_server_paths();
+    /// Stops 2 to 4 of 6 instances gracefully, one after the other, each in the
+    /// grace period of the one before.
+    void stop_in_turn();
     void inject_node_fault();
     void inject_link_fault();
     void inject_server_fault();
