Run long tasks in the soak, and let callers try elsewhere

Tasks took 20 to 220 ms, so hardly any outlasted a stop or its caller's limit. In the overlap profile 6 in 100 jobs have tasks of 1 to 9 s, which callers declare as short. Half of the jobs have a deadline of 9 s, above the grace period of a stop (6 s), the others 4 s. A caller tries again 1.3 s after a broken connection or a 504, as before, but always at another instance, as on the platform.

The rate of jobs had no effect: seconds(1) divided by any rate is 0 s, so that a job was sent in each tick of 10 ms.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <random>
 #include <sstream>
 #include <string>
@@ -29,10 +30,19 @@
     std::string program;
     std::vector<std::uint64_t> seeds;
     milliseconds duration{20000};
-    std::uint32_t jobs_per_second = 60;
+    std::optional<microseconds> job_interval; ///< empty: by profile
     soak_profile profile = soak_profile::standard;
 };
 
+/// Returns the default time between two jobs. In the overlap profile, long
+/// tasks take most of the servers' capacity. The standard profile sends a job
+/// in each tick of the event loop, as its seeds always did.
+microseconds default_interval(soak_profile profile)
+{
+    return profile == soak_profile::standard ? microseconds(0)
+                                             : milliseconds(40);
+}
+
 /// Returns a loopback address derived from the process id, which no other soak
 /// test on this machine uses at the same time.
 std::string unique_loopback_address()
@@ -83,8 +93,9 @@
     options.profile = plan.profile;
     soak_cluster cluster(loop, options);
     cluster.recorder().trace_to(runs);
-    soak_callers callers(loop, cluster, random, options.address,
-                         plan.jobs_per_second);
+    soak_callers callers(
+        loop, cluster, random, options.address, plan.profile,
+        plan.job_interval.value_or(default_interval(plan.profile)));
     std::vector<std::string> violations;
     constexpr milliseconds forever{0x7fffffff};
     if (!wait_until_serving(loop, callers, options.nodes))
@@ -204,8 +215,8 @@
             plan.duration = std::chrono::seconds(std::stol(optarg));
             break;
         case 'r':
-            plan.jobs_per_second =
-                static_cast<std::uint32_t>(std::stoul(optarg));
+            plan.job_interval =
+                microseconds(std::chrono::seconds(1)) / std::stol(optarg);
             break;
         case 's':
             plan.seeds = parse_seeds(optarg);
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -15,20 +15,30 @@
 constexpr std::uint32_t max_attempts = 3;
 /// Deadline that callers send with each job.
 constexpr milliseconds job_deadline{4000};
-/// Longer than `job_deadline`, by which an instance replies unless it is
+/// In the overlap profile, the deadline of half of the jobs: longer than the
+/// grace period of a stop (6 s).
+constexpr milliseconds long_job_deadline{9000};
+/// Time after the deadline, by which an instance replies unless it is
 /// suspended.
-constexpr milliseconds reply_timeout{6000};
+constexpr milliseconds reply_margin{2000};
+constexpr std::uint64_t long_tasks_percent = 6;
+constexpr std::uint64_t min_long_task_ms = 1000;
+/// Callers declare a long task as shorter by this factor, since instances
+/// refuse a job that seems unable to end within its deadline. It is below the
+/// `stretch` of the route (3), above which instances stop a run.
+constexpr double declared_share = 0.4;
 constexpr std::size_t max_connections = 64;
 
 } // namespace
 
 soak_callers::soak_callers(event_loop& events, soak_cluster& target,
                            random_source& source, const std::string& address,
-                           std::uint32_t jobs_per_second)
+                           soak_profile jobs, microseconds interval)
     : loop(events)
     , cluster(target)
     , random(source)
-    , job_interval(std::chrono::seconds(1) / jobs_per_second)
+    , profile(jobs)
+    , job_interval(interval)
 {
     for (const soak_cluster::node& node : this->cluster.nodes())
     {
@@ -59,7 +69,12 @@
     std::snprintf(id.data(), id.size(), "%016llx",
                   static_cast<unsigned long long>(this->next_id++));
     new_job->id = id.data();
-    const auto run_ms = 20 + this->random.below(200);
+    const auto run_ms = this->draw_run_time(*new_job);
+    const std::uint64_t declared_ms =
+        run_ms < min_long_task_ms
+            ? run_ms
+            : static_cast<std::uint64_t>(static_cast<double>(run_ms) *
+                                         declared_share);
     const std::string payload = std::to_string(run_ms) + " " + new_job->id;
     new_job->body = nlohmann::json{{"taskSpec", payload},
                                    {"bestEffort", true},
@@ -67,13 +82,38 @@
                                     {{{"count", 1 + this->random.below(5)},
                                       {"cpu", 6800},
                                       {"memMb", 64},
-                                      {"estRuntimeMs", run_ms}}}}}
+                                      {"estRuntimeMs", declared_ms}}}}}
                         .dump();
     this->cluster.recorder().expect(new_job->id, payload);
     ++this->open_jobs;
     return new_job;
 }
 
+std::uint64_t soak_callers::draw_run_time(job& new_job)
+{
+    new_job.deadline = job_deadline;
+    if (this->profile == soak_profile::overlap)
+    {
+        new_job.deadline =
+            this->random.below(2) == 0 ? job_deadline : long_job_deadline;
+        if (this->random.below(100) < long_tasks_percent)
+        {
+            return min_long_task_ms + this->random.below(8000);
+        }
+    }
+    return 20 + this->random.below(200);
+}
+
+std::size_t soak_callers::next_node(const job& pending_job)
+{
+    const std::size_t count = this->clients.size();
+    if (this->profile == soak_profile::standard)
+    {
+        return this->random.below(count);
+    }
+    return (pending_job.last_node + 1 + this->random.below(count - 1)) % count;
+}
+
 void soak_callers::probe(std::size_t node)
 {
     auto new_job = this->make_job();
@@ -85,14 +125,15 @@
                            std::size_t node)
 {
     ++pending_job->attempts;
+    pending_job->last_node = node;
     http_call call;
     call.method = "POST";
     call.target = "/q/" + pending_job->id;
     call.host = "h";
-    call.headers = {
-        {"X-Jujubedrum-Deadline-Ms", std::to_string(job_deadline.count())}};
+    call.headers = {{"X-Jujubedrum-Deadline-Ms",
+                     std::to_string(pending_job->deadline.count())}};
     call.body = pending_job->body;
-    call.timeout = reply_timeout;
+    call.timeout = pending_job->deadline + reply_margin;
     this->clients[node]->call(std::move(call),
                               [this, pending_job](const http_reply& reply)
                               { this->on_reply(pending_job, reply); });
@@ -149,11 +190,9 @@
         this->finish_job(*pending_job, "given up");
         return;
     }
-    this->loop.after(resend_backoff,
-                     [this, pending_job] {
-                         this->attempt(pending_job, this->random.below(
-                                                        this->clients.size()));
-                     });
+    this->loop.after(
+        resend_backoff, [this, pending_job]
+        { this->attempt(pending_job, this->next_node(*pending_job)); });
 }
 
 void soak_callers::finish_job(const job&, const std::string& outcome)
