Kill instances of the soak while another one is suspended

Suspensions and kills were drawn on their own, so that they met by chance. An instance that wakes up after its peers have lost others acts on a view of the past. The overlap profile suspends an instance for 1 to 4 s and kills 1 or 2 others in that time.

--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -100,14 +100,17 @@
 
 void soak_faults::inject_overlapping_fault()
 {
-    switch (this->random.below(2))
+    switch (this->random.below(3))
     {
     case 0:
         this->cut_server_paths();
         return;
-    default:
+    case 1:
         this->stop_in_turn();
         return;
+    default:
+        this->kill_during_pause();
+        return;
     }
 }
 
@@ -173,6 +176,31 @@
     }
 }
 
+void soak_faults::kill_during_pause()
+{
+    const auto chosen = this->random_indices(this->cluster.nodes().size(), 3);
+    const std::size_t kills = 1 + this->random.below(2);
+    const auto duration = this->random_duration(1000, 4000);
+    soak_cluster::node& paused = this->cluster.nodes()[chosen[0]];
+    this->log_fault("pause n" + std::to_string(chosen[0]) +
+                    ", time in ms: " + std::to_string(duration.count()));
+    paused.process->signal(SIGSTOP);
+    this->schedule(duration, [&paused] { paused.process->signal(SIGCONT); });
+    for (std::size_t i = 1; i <= kills; ++i)
+    {
+        const std::size_t index = chosen[i];
+        soak_cluster::node& node = this->cluster.nodes()[index];
+        const auto limit = static_cast<std::uint64_t>(duration.count());
+        this->schedule(this->random_duration(0, limit),
+                       [this, &node, index]
+                       {
+                           this->log_fault("kill during pause n" +
+                                           std::to_string(index));
+                           node.process->signal(SIGKILL);
+                       });
+    }
+}
+
 void soak_faults::inject_node_fault()
 {
     const auto index = this->random.below(this->cluster.nodes().size());
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -36,6 +36,8 @@
     /// Stops 2 to 4 of 6 instances gracefully, one after the other, each in the
     /// grace period of the one before.
     void stop_in_turn();
+    /// Suspends an instance for 1 to 4 s and kills 1 or 2 others meanwhile.
+    void kill_during_pause();
     void inject_node_fault();
     void inject_link_fault();
     void inject_server_fault();
