Cut the store from some instances while servers come and go

The faults of the store hit all instances alike, and no server lost its entry. In the overlap profile the store is cut from 1 to 3 instances for 1.5 to 5 s, while the entries of 1 to 4 servers are removed or added; the servers go on running. Four spare servers have no entry at first, so that an instance can miss servers that others know.

--- a/tests/soak/soak_cluster.cpp
+++ b/tests/soak/soak_cluster.cpp
@@ -53,9 +53,12 @@
            {"stretch", 3.0}}}},
         {"services",
          nlohmann::json::array()}}.dump());
-    for (std::size_t i = 0; i < options.servers; ++i)
+    const std::size_t spare_servers =
+        options.profile == soak_profile::standard ? 0 : options.spare_servers;
+    for (std::size_t i = 0; i < options.servers + spare_servers; ++i)
     {
         server added;
+        added.listed = i < options.servers;
         added.domain = "d" + std::to_string(i % options.domains);
         added.standin = std::make_unique<task_server_standin>(
             events, "s" + std::to_string(i), server_cpu_milli, this->runs);
--- a/tests/soak/soak_cluster.hpp
+++ b/tests/soak/soak_cluster.hpp
@@ -26,6 +26,8 @@
     std::string address = "127.0.0.1";
     std::size_t nodes = 6;
     std::size_t servers = 12;
+    /// Further servers without an entry at first, in the overlap profile.
+    std::size_t spare_servers = 4;
     std::size_t domains = 2;
     soak_profile profile = soak_profile::standard;
 };
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -100,7 +100,7 @@
 
 void soak_faults::inject_overlapping_fault()
 {
-    switch (this->random.below(3))
+    switch (this->random.below(4))
     {
     case 0:
         this->cut_server_paths();
@@ -108,9 +108,12 @@
     case 1:
         this->stop_in_turn();
         return;
-    default:
+    case 2:
         this->kill_during_pause();
         return;
+    default:
+        this->change_servers_unseen();
+        return;
     }
 }
 
@@ -201,6 +204,46 @@
     }
 }
 
+void soak_faults::change_servers_unseen()
+{
+    const auto duration = this->random_duration(1500, 5000);
+    const auto nodes = this->random_indices(this->cluster.nodes().size(),
+                                            1 + this->random.below(3));
+    this->log_fault("cut the store from" + list_names(" n", nodes) +
+                    ", time in ms: " + std::to_string(duration.count()));
+    for (const std::size_t index : nodes)
+    {
+        fault_relay& relay = *this->cluster.nodes()[index].store_relay;
+        relay.blackhole(true, true);
+        this->schedule(duration, [&relay] { relay.heal(); });
+    }
+    const auto servers = this->random_indices(this->cluster.servers().size(),
+                                              1 + this->random.below(4));
+    for (const std::size_t index : servers)
+    {
+        this->schedule(
+            this->random_duration(0, 1000), [this, index]
+            { this->toggle_entry(this->cluster.servers()[index], index); });
+    }
+}
+
+void soak_faults::toggle_entry(soak_cluster::server& server, std::size_t index)
+{
+    if (!this->active)
+    {
+        return;
+    }
+    server.listed = !server.listed;
+    this->log_fault((server.listed ? "list s" : "unlist s") +
+                    std::to_string(index));
+    if (server.listed)
+    {
+        this->cluster.write_entry(server);
+        return;
+    }
+    this->cluster.store().write_server(server.standin->id(), "");
+}
+
 void soak_faults::inject_node_fault()
 {
     const auto index = this->random.below(this->cluster.nodes().size());
@@ -309,7 +352,10 @@
     case 6:
         this->log_fault("drain" + name);
         standin.set_draining(true);
-        this->cluster.write_entry(server);
+        if (server.listed)
+        {
+            this->cluster.write_entry(server);
+        }
         this->schedule(duration, [&standin] { standin.set_draining(false); });
         return;
     default:
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -38,6 +38,10 @@
     void stop_in_turn();
     /// Suspends an instance for 1 to 4 s and kills 1 or 2 others meanwhile.
     void kill_during_pause();
+    /// Cuts the store from some instances, and meanwhile removes or adds the
+    /// entries of some backend servers, which go on running.
+    void change_servers_unseen();
+    void toggle_entry(soak_cluster::server& server, std::size_t index);
     void inject_node_fault();
     void inject_link_fault();
     void inject_server_fault();
