--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,10 +1,12 @@
 #include "soak_callers.hpp"
 #include "soak_cluster.hpp"
 #include "soak_faults.hpp"
+#include "soak_profile.hpp"
 
 #include <charconv>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <random>
 #include <sstream>
 #include <string>
@@ -18,9 +20,8 @@
 
 using namespace jujubedrum;
 
-// Upper bounds on waiting, long enough for processes to start and find each
-// other. They are no performance targets.
-constexpr milliseconds start_timeout{30000};
+// Upper bound on waiting, long enough for processes to start and find each
+// other. It is no performance target.
 constexpr milliseconds completion_timeout{60000};
 constexpr std::uint64_t min_completed_probes = 20;
 
@@ -29,9 +30,19 @@
     std::string program;
     std::vector<std::uint64_t> seeds;
     milliseconds duration{20000};
-    std::uint32_t jobs_per_second = 60;
+    std::optional<microseconds> job_interval; ///< empty: by profile
+    soak_profile profile = soak_profile::standard;
 };
 
+/// Returns the default time between two jobs. In the overlap profile, long
+/// tasks take most of the servers' capacity. The standard profile sends a job
+/// in each tick of the event loop, as its seeds always did.
+microseconds default_interval(soak_profile profile)
+{
+    return profile == soak_profile::standard ? microseconds(0)
+                                             : milliseconds(40);
+}
+
 /// Returns a loopback address derived from the process id, which no other soak
 /// test on this machine uses at the same time.
 std::string unique_loopback_address()
@@ -43,12 +54,15 @@
 }
 
 /// Sends probe jobs to the instances in turn until `min_completed_probes` of
-/// them have completed since `callers` was created. Returns false if this takes
-/// longer than `completion_timeout`.
+/// them have completed since the call. Returns false if this takes longer than
+/// `completion_timeout`. Probes of an earlier call that are still open would
+/// count as well, so there must be none.
 bool wait_until_serving(event_loop& loop, soak_callers& callers,
                         std::size_t nodes)
 {
     constexpr milliseconds probe_interval{300};
+    const std::uint64_t required =
+        callers.probes_completed() + min_completed_probes;
     std::size_t node = 0;
     instant next{0};
     return loop.run_until(
@@ -59,7 +73,7 @@
                 next = event_loop::now() + probe_interval;
                 callers.probe(node++ % nodes);
             }
-            return callers.probes_completed() >= min_completed_probes;
+            return callers.probes_completed() >= required;
         },
         completion_timeout);
 }
@@ -69,15 +83,19 @@
 {
     std::filesystem::create_directories(folder);
     std::ofstream report(folder / "faults.txt");
+    std::ofstream runs(folder / "runs.txt");
     event_loop loop;
     random_source random(seed);
     cluster_options options;
     options.program = plan.program;
     options.folder = folder;
     options.address = unique_loopback_address();
+    options.profile = plan.profile;
     soak_cluster cluster(loop, options);
-    soak_callers callers(loop, cluster, random, options.address,
-                         plan.jobs_per_second);
+    cluster.recorder().trace_to(runs);
+    soak_callers callers(
+        loop, cluster, random, options.address, plan.profile,
+        plan.job_interval.value_or(default_interval(plan.profile)));
     std::vector<std::string> violations;
     constexpr milliseconds forever{0x7fffffff};
     if (!wait_until_serving(loop, callers, options.nodes))
@@ -87,7 +105,7 @@
             "probe jobs in time");
         return violations;
     }
-    soak_faults injector(loop, cluster, random, report);
+    soak_faults injector(loop, cluster, random, plan.profile, report);
     callers.start();
     injector.start();
     const instant end_time = event_loop::now() + plan.duration;
@@ -103,10 +121,7 @@
             "at least one job of a caller had no final reply when the "
             "wait timed out");
     }
-    const std::uint64_t probes_before = callers.probes_completed();
-    if (!loop.run_until([&] { return true; }, start_timeout) ||
-        !wait_until_serving(loop, callers, options.nodes) ||
-        callers.probes_completed() < probes_before)
+    else if (!wait_until_serving(loop, callers, options.nodes))
     {
         violations.emplace_back(
             "after the end of all faults, instances did not complete "
@@ -153,11 +168,23 @@
     return seeds;
 }
 
+/// Returns false if there is no profile of this name.
+bool parse_profile(const std::string& name, soak_profile& profile)
+{
+    if (name != "standard" && name != "overlap")
+    {
+        return false;
+    }
+    profile =
+        name == "overlap" ? soak_profile::overlap : soak_profile::standard;
+    return true;
+}
+
 void print_usage(std::ostream& out)
 {
     out << "usage: node_soak --node PROGRAM [--seconds N] [--rate N]\n"
            "                 [--seeds A,B,...] [--seeds-file FILE]\n"
-           "                 [--fresh COUNT]\n"
+           "                 [--fresh COUNT] [--profile standard|overlap]\n"
            "Runs instances as child processes, injects faults drawn from each\n"
            "seed and checks replies to callers and runs on backend servers.\n"
            "Exit status: 0 no violation, 1 violation found, 2 usage error.\n";
@@ -174,9 +201,10 @@
                               {"seeds", required_argument, nullptr, 's'},
                               {"seeds-file", required_argument, nullptr, 'f'},
                               {"fresh", required_argument, nullptr, 'x'},
+                              {"profile", required_argument, nullptr, 'p'},
                               {nullptr, 0, nullptr, 0}};
-    for (int c = 0;
-         (c = getopt_long(argc, argv, "n:t:r:s:f:x:", options, nullptr)) != -1;)
+    for (int c = 0; (c = getopt_long(argc, argv, "n:t:r:s:f:x:p:", options,
+                                     nullptr)) != -1;)
     {
         switch (c)
         {
@@ -187,8 +215,8 @@
             plan.duration = std::chrono::seconds(std::stol(optarg));
             break;
         case 'r':
-            plan.jobs_per_second =
-                static_cast<std::uint32_t>(std::stoul(optarg));
+            plan.job_interval =
+                microseconds(std::chrono::seconds(1)) / std::stol(optarg);
             break;
         case 's':
             plan.seeds = parse_seeds(optarg);
@@ -202,6 +230,13 @@
                 plan.seeds.push_back(std::random_device()());
             }
             break;
+        case 'p':
+            if (!parse_profile(optarg, plan.profile))
+            {
+                print_usage(std::cerr);
+                return 2;
+            }
+            break;
         default:
             print_usage(std::cerr);
             return 2;
--- a/tests/soak/soak_cluster.cpp
+++ b/tests/soak/soak_cluster.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <map>
 #include <stdexcept>
 
 #include <nlohmann/json.hpp>
@@ -44,16 +45,20 @@
            {"host", "h"},
            {"pathPrefix", "/q/"},
            {"backend", "service"},
-           {"timeoutMs", 4000},
+           {"timeoutMs",
+            options.profile == soak_profile::standard ? 4000 : 9000},
            {"targetLatencyMs", 300},
            {"priority", 0},
            {"maxAttempts", 3},
            {"stretch", 3.0}}}},
         {"services",
          nlohmann::json::array()}}.dump());
-    for (std::size_t i = 0; i < options.servers; ++i)
+    const std::size_t spare_servers =
+        options.profile == soak_profile::standard ? 0 : options.spare_servers;
+    for (std::size_t i = 0; i < options.servers + spare_servers; ++i)
     {
         server added;
+        added.listed = i < options.servers;
         added.domain = "d" + std::to_string(i % options.domains);
         added.standin = std::make_unique<task_server_standin>(
             events, "s" + std::to_string(i), server_cpu_milli, this->runs);
@@ -84,8 +89,11 @@
     added.operators_port = free_port(this->loop.events(), options.address);
     added.peer_relay = std::make_unique<fault_relay>(
         this->loop.events(), options.address, peers_port);
-    added.store_relay = std::make_unique<fault_relay>(
-        this->loop.events(), "127.0.0.1", this->store_standin.port());
+    const std::uint16_t store_port = options.profile == soak_profile::standard
+                                         ? this->store_standin.port()
+                                         : this->add_server_paths(added);
+    added.store_relay = std::make_unique<fault_relay>(this->loop.events(),
+                                                      "127.0.0.1", store_port);
     const std::filesystem::path settings = options.folder / (name + ".json");
     std::ofstream(settings) << nlohmann::json{
         {"instance", name},
@@ -106,6 +114,33 @@
     this->node_list.push_back(std::move(added));
 }
 
+std::uint16_t soak_cluster::add_server_paths(node& instance)
+{
+    std::map<std::string, std::uint16_t> ports;
+    for (const server& each : this->server_list)
+    {
+        auto path = std::make_unique<fault_relay>(
+            this->loop.events(), "127.0.0.1", each.relay->port());
+        path->forward_at_once();
+        ports.emplace(each.standin->id(), path->port());
+        instance.server_paths.push_back(std::move(path));
+    }
+    const std::uint16_t port = this->store_standin.listen_filtered(
+        [ports](const std::string& id, const std::string& entry)
+        {
+            auto changed = nlohmann::json::parse(entry);
+            changed["address"] = loopback_endpoint(ports.at(id));
+            return changed.dump();
+        });
+    if (port == 0)
+    {
+        throw std::runtime_error(
+            "log store stand-in failed to listen on a further loopback port; "
+            "soak run aborted");
+    }
+    return port;
+}
+
 void soak_cluster::write_entry(const server& backend)
 {
     this->store_standin.write_server(
@@ -164,6 +199,10 @@
     {
         each.peer_relay->heal();
         each.store_relay->heal();
+        for (const auto& path : each.server_paths)
+        {
+            path->heal();
+        }
         each.process->signal(SIGCONT);
     }
 }
--- a/tests/soak/soak_cluster.hpp
+++ b/tests/soak/soak_cluster.hpp
@@ -2,6 +2,7 @@
 
 #include "fault_relay.hpp"
 #include "node_process.hpp"
+#include "soak_profile.hpp"
 #include "users/log_store_standin.hpp"
 #include "users/task_server_standin.hpp"
 
@@ -25,7 +26,10 @@
     std::string address = "127.0.0.1";
     std::size_t nodes = 6;
     std::size_t servers = 12;
+    /// Further servers without an entry at first, in the overlap profile.
+    std::size_t spare_servers = 4;
     std::size_t domains = 2;
+    soak_profile profile = soak_profile::standard;
 };
 
 /// Runs instances as child processes. The log store and the backend servers are
@@ -39,6 +43,9 @@
         std::unique_ptr<node_process> process;
         std::unique_ptr<fault_relay> peer_relay;
         std::unique_ptr<fault_relay> store_relay;
+        /// Paths to the backend servers, by index of the server; empty in the
+        /// standard profile, where instances share the relays of servers.
+        std::vector<std::unique_ptr<fault_relay>> server_paths;
         std::uint16_t callers_port = 0;
         std::uint16_t operators_port = 0;
         /// Restarted on exit; false while a restart is pending.
@@ -68,6 +75,9 @@
 
 private:
     void add_node(const cluster_options& options, std::size_t index);
+    /// Adds a relay from the instance to each backend server. Returns the port
+    /// of the store where the entries name these relays.
+    std::uint16_t add_server_paths(node& instance);
     void refresh_entries();
     void watch_processes();
 
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -1,15 +1,35 @@
 #include "soak_faults.hpp"
 
 #include <csignal>
+#include <numeric>
+#include <utility>
 
 namespace jujubedrum
 {
 
+namespace
+{
+
+std::string list_names(const std::string& prefix,
+                       const std::vector<std::size_t>& indices)
+{
+    std::string names;
+    for (const std::size_t index : indices)
+    {
+        names += prefix + std::to_string(index);
+    }
+    return names;
+}
+
+} // namespace
+
 soak_faults::soak_faults(event_loop& events, soak_cluster& target,
-                         random_source& source, std::ostream& out)
+                         random_source& source, soak_profile kinds,
+                         std::ostream& out)
     : loop(events)
     , cluster(target)
     , random(source)
+    , profile(kinds)
     , report(out)
     , start_time(event_loop::now())
 {
@@ -36,7 +56,8 @@
 {
     const auto elapsed = std::chrono::duration_cast<milliseconds>(
         event_loop::now() - this->start_time);
-    this->report << elapsed.count() << " ms " << description << "\n"
+    this->report << event_loop::wall_now().count() << " " << elapsed.count()
+                 << " ms " << description << "\n"
                  << std::flush;
 }
 
@@ -46,7 +67,14 @@
     {
         return;
     }
-    this->inject_random_fault();
+    if (this->profile == soak_profile::overlap && this->random.below(2) == 0)
+    {
+        this->inject_overlapping_fault();
+    }
+    else
+    {
+        this->inject_random_fault();
+    }
     this->schedule(this->random_duration(100, 1500),
                    [this] { this->inject_next(); });
 }
@@ -70,6 +98,152 @@
     }
 }
 
+void soak_faults::inject_overlapping_fault()
+{
+    switch (this->random.below(4))
+    {
+    case 0:
+        this->cut_server_paths();
+        return;
+    case 1:
+        this->stop_in_turn();
+        return;
+    case 2:
+        this->kill_during_pause();
+        return;
+    default:
+        this->change_servers_unseen();
+        return;
+    }
+}
+
+std::vector<std::size_t> soak_faults::random_indices(std::size_t size,
+                                                     std::size_t count)
+{
+    std::vector<std::size_t> all(size);
+    std::iota(all.begin(), all.end(), std::size_t{0});
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        std::swap(all[i], all[i + this->random.below(size - i)]);
+    }
+    all.resize(count);
+    return all;
+}
+
+void soak_faults::cut_server_paths()
+{
+    constexpr std::size_t max_nodes = 3;
+    const auto nodes = this->random_indices(this->cluster.nodes().size(),
+                                            1 + this->random.below(max_nodes));
+    const std::size_t server_count = this->cluster.servers().size();
+    const auto servers = this->random_indices(
+        server_count, 1 + this->random.below(server_count / 2));
+    const auto mode = this->random.below(3);
+    const bool forward = mode != 0;
+    const bool backward = mode != 1;
+    const auto duration = this->random_duration(300, 6000);
+    this->log_fault("black-hole paths of" + list_names(" n", nodes) + " to" +
+                    list_names(" s", servers) +
+                    ", requests: " + std::to_string(forward) +
+                    ", replies: " + std::to_string(backward) +
+                    ", time in ms: " + std::to_string(duration.count()));
+    for (const std::size_t node : nodes)
+    {
+        for (const std::size_t server : servers)
+        {
+            fault_relay& path =
+                *this->cluster.nodes()[node].server_paths[server];
+            path.blackhole(forward, backward);
+            this->schedule(duration, [&path] { path.heal(); });
+        }
+    }
+}
+
+void soak_faults::stop_in_turn()
+{
+    const std::size_t max_nodes = this->cluster.nodes().size() - 2;
+    const auto nodes = this->random_indices(
+        this->cluster.nodes().size(), 2 + this->random.below(max_nodes - 1));
+    milliseconds delay{0};
+    for (const std::size_t index : nodes)
+    {
+        soak_cluster::node& node = this->cluster.nodes()[index];
+        this->schedule(delay,
+                       [this, &node, index]
+                       {
+                           this->log_fault("stop in turn n" +
+                                           std::to_string(index));
+                           node.process->signal(SIGTERM);
+                       });
+        delay += this->random_duration(50, 1500);
+    }
+}
+
+void soak_faults::kill_during_pause()
+{
+    const auto chosen = this->random_indices(this->cluster.nodes().size(), 3);
+    const std::size_t kills = 1 + this->random.below(2);
+    const auto duration = this->random_duration(1000, 4000);
+    soak_cluster::node& paused = this->cluster.nodes()[chosen[0]];
+    this->log_fault("pause n" + std::to_string(chosen[0]) +
+                    ", time in ms: " + std::to_string(duration.count()));
+    paused.process->signal(SIGSTOP);
+    this->schedule(duration, [&paused] { paused.process->signal(SIGCONT); });
+    for (std::size_t i = 1; i <= kills; ++i)
+    {
+        const std::size_t index = chosen[i];
+        soak_cluster::node& node = this->cluster.nodes()[index];
+        const auto limit = static_cast<std::uint64_t>(duration.count());
+        this->schedule(this->random_duration(0, limit),
+                       [this, &node, index]
+                       {
+                           this->log_fault("kill during pause n" +
+                                           std::to_string(index));
+                           node.process->signal(SIGKILL);
+                       });
+    }
+}
+
+void soak_faults::change_servers_unseen()
+{
+    const auto duration = this->random_duration(1500, 5000);
+    const auto nodes = this->random_indices(this->cluster.nodes().size(),
+                                            1 + this->random.below(3));
+    this->log_fault("cut the store from" + list_names(" n", nodes) +
+                    ", time in ms: " + std::to_string(duration.count()));
+    for (const std::size_t index : nodes)
+    {
+        fault_relay& relay = *this->cluster.nodes()[index].store_relay;
+        relay.blackhole(true, true);
+        this->schedule(duration, [&relay] { relay.heal(); });
+    }
+    const auto servers = this->random_indices(this->cluster.servers().size(),
+                                              1 + this->random.below(4));
+    for (const std::size_t index : servers)
+    {
+        this->schedule(
+            this->random_duration(0, 1000), [this, index]
+            { this->toggle_entry(this->cluster.servers()[index], index); });
+    }
+}
+
+void soak_faults::toggle_entry(soak_cluster::server& server, std::size_t index)
+{
+    if (!this->active)
+    {
+        return;
+    }
+    server.listed = !server.listed;
+    this->log_fault((server.listed ? "list s" : "unlist s") +
+                    std::to_string(index));
+    if (server.listed)
+    {
+        this->cluster.write_entry(server);
+        return;
+    }
+    this->cluster.store().write_server(server.standin->id(), "");
+}
+
 void soak_faults::inject_node_fault()
 {
     const auto index = this->random.below(this->cluster.nodes().size());
@@ -178,7 +352,10 @@
     case 6:
         this->log_fault("drain" + name);
         standin.set_draining(true);
-        this->cluster.write_entry(server);
+        if (server.listed)
+        {
+            this->cluster.write_entry(server);
+        }
         this->schedule(duration, [&standin] { standin.set_draining(false); });
         return;
     default:
