Give the instances of each test process a loopback address of their own

`dispatch_node_suite/pool_given_up_job_submitted_again_runs_once` failed once in a whole run beside other test processes: its first wait ended without a start, and the log shows that the stand-in of the accepting instance counted as linked 1 s before the instance under test saw it. Ports are unique within a process only, and instances of all processes are called alike, so that an instance of another process could dial the stand-in. That is what the times suggest; the other process was not recorded. The address is now derived from the process id, by the function of the soak. The checks are the same.

--- a/standins/users/free_port.cpp
+++ b/standins/users/free_port.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <unistd.h>
+
 namespace jujubedrum
 {
 
@@ -24,4 +26,12 @@
     }
 }
 
+std::string unique_loopback_address()
+{
+    const auto id = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(1 + ((id >> 16U) & 0x7fU)) + "." +
+           std::to_string((id >> 8U) & 0xffU) + "." +
+           std::to_string(id & 0xffU);
+}
+
 } // namespace jujubedrum
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -2,6 +2,7 @@
 #include "soak_cluster.hpp"
 #include "soak_faults.hpp"
 #include "soak_profile.hpp"
+#include "users/free_port.hpp"
 
 #include <charconv>
 #include <fstream>
@@ -43,16 +44,6 @@
                                              : milliseconds(40);
 }
 
-/// Returns a loopback address derived from the process id, which no other soak
-/// test on this machine uses at the same time.
-std::string unique_loopback_address()
-{
-    const auto id = static_cast<unsigned>(::getpid());
-    return "127." + std::to_string(1 + ((id >> 16U) & 0x7fU)) + "." +
-           std::to_string((id >> 8U) & 0xffU) + "." +
-           std::to_string(id & 0xffU);
-}
-
 /// Sends probe jobs to the instances in turn until `min_completed_probes` of
 /// them have completed since the call. Returns false if this takes longer than
 /// `completion_timeout`. Probes of an earlier call that are still open would
--- a/tests/unit/dispatch/node_fixture.cpp
+++ b/tests/unit/dispatch/node_fixture.cpp
@@ -26,7 +26,7 @@
         {"domain", domain},
         {"callers", "127.0.0.1:0"},
         {"operators", "127.0.0.1:0"},
-        {"peers", "127.0.0.1:" + std::to_string(peers)},
+        {"peers", unique_loopback_address() + ":" + std::to_string(peers)},
         {"store", "127.0.0.1:" + std::to_string(store)}};
     config_reason why;
     const auto settings = node_settings::load(object.dump(), why);
@@ -81,7 +81,8 @@
 {
     if (this->peer_ports.count(name) == 0)
     {
-        this->peer_ports[name] = free_port(this->loop, "127.0.0.1");
+        this->peer_ports[name] =
+            free_port(this->loop, unique_loopback_address());
     }
     this->nodes.erase(name);
     this->nodes[name] = std::make_unique<node_under_test>(
@@ -203,7 +204,8 @@
 
 member_record node_fixture::member_of(const std::string& name)
 {
-    return {name, "127.0.0.1", this->peer_ports[name], 1, "d1", 1000};
+    return {name, unique_loopback_address(), this->peer_ports[name], 1, "d1",
+            1000};
 }
 
 bool node_fixture::wait_for(const std::string& job)
--- a/tests/unit/dispatch/peer_standin.cpp
+++ b/tests/unit/dispatch/peer_standin.cpp
@@ -19,14 +19,16 @@
                            const member_record& tested,
                            std::vector<pool_hold> holds,
                            const std::string& domain, std::uint64_t boot)
-    : mesh(loop, {name, "127.0.0.1", 0, boot, domain, 1000}, *this)
+    : mesh(loop, {name, unique_loopback_address(), 0, boot, domain, 1000},
+           *this)
 {
     const std::uint64_t cpu = holds.empty() ? 0 : free_cpu;
     this->own = {{name, boot, domain, 1000, false, std::move(holds)},
                  {cpu, cpu, 0, mean_run_ms},
                  milliseconds(0)};
     this->mesh.set_heartbeat(this->own);
-    BOOST_REQUIRE(this->mesh.listen("127.0.0.1", free_port(loop, "127.0.0.1")));
+    BOOST_REQUIRE(this->mesh.listen(
+        unique_loopback_address(), free_port(loop, unique_loopback_address())));
     this->mesh.on_members({tested});
 }
 
