Wait for all pools before tokens of two holders are compared

`store_down_successor_exceeds_raised_tokens` failed once in a whole run. Its log shows the server reachable after pools 0 to 2 were taken and before pool 3, the one with the highest token, so that the highest token of the successor was not its last. The test now waits until all pools are taken, which it required only by luck; the comparison is the same.

Also connects the malformed frames to the address of the instance under test.

--- a/tests/unit/dispatch/dispatch_node_test.cpp
+++ b/tests/unit/dispatch/dispatch_node_test.cpp
@@ -1423,6 +1423,7 @@
     this->store.set_fault(log_store_standin::fault::unresponsive);
     this->nodes.erase("a");
     BOOST_REQUIRE(this->wait_for_servers("b", 1));
+    BOOST_REQUIRE(this->wait([&] { return this->holds_all_pools("b"); }));
     BOOST_TEST(this->token_of("b") >= token + tokens_per_hold);
     this->submit("b", "0000000000000005", 1, 30);
     BOOST_REQUIRE(this->wait_for("0000000000000005"));
@@ -1585,7 +1586,9 @@
     for (const std::string& frame : frames)
     {
         boost::asio::ip::tcp::socket peer(this->loop.context());
-        peer.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+        peer.connect(
+            {boost::asio::ip::make_address(this->member_of("a").address),
+             port});
         boost::asio::write(peer, boost::asio::buffer(frame));
         this->run_for(milliseconds(30));
     }
