Log how many runs of a job were stopped for want of a confirmation

A job whose accepting instance was not confirmed runs its tasks again, which its log line did not tell from other repeated starts.

--- a/src/libjujubedrum/dispatch/pool_dispatcher.cpp
+++ b/src/libjujubedrum/dispatch/pool_dispatcher.cpp
@@ -852,6 +852,7 @@
         if (ref.task().state != task_state::stopping &&
             !this->is_confirmed(*ref.job, now))
         {
+            ++ref.job->unconfirmed_stops;
             this->stop_run(ref, now);
         }
     }
--- a/src/libjujubedrum/dispatch/pooled_job.cpp
+++ b/src/libjujubedrum/dispatch/pooled_job.cpp
@@ -37,6 +37,7 @@
     this->answered = false;
     this->first_start.reset();
     this->starts = 0;
+    this->unconfirmed_stops = 0;
     this->unfinished.clear();
     for (const job_step& step : this->request.steps)
     {
@@ -142,6 +143,7 @@
         result.tasks += static_cast<std::uint32_t>(step.size());
     }
     result.starts = this->starts;
+    result.unconfirmed_stops = this->unconfirmed_stops;
     result.objective = this->objective();
     result.last_server = this->last_server;
     result.expected_wait = this->expected_wait;
--- a/src/libjujubedrum/dispatch/pooled_job.hpp
+++ b/src/libjujubedrum/dispatch/pooled_job.hpp
@@ -28,6 +28,8 @@
     milliseconds total{0};
     std::uint32_t tasks = 0;
     std::uint32_t starts = 0;
+    /// Runs stopped because the accepting instance was not confirmed.
+    std::uint32_t unconfirmed_stops = 0;
     milliseconds objective{0}; ///< derived from the declared run times
     std::string last_server;
     milliseconds expected_wait{0}; ///< estimate at its admission or refusal
@@ -87,6 +89,7 @@
     std::uint32_t waiting = 0; ///< tasks that wait for free capacity
     std::uint32_t on_servers = 0;
     std::uint32_t starts = 0;
+    std::uint32_t unconfirmed_stops = 0;
     std::optional<instant> first_start;
     std::string last_server;
     milliseconds expected_wait{0};
--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -140,6 +140,7 @@
               << " total_ms=" << report.total.count()
               << " objective_ms=" << report.objective.count()
               << " tasks=" << report.tasks << " starts=" << report.starts
+              << " unconfirmed_stops=" << report.unconfirmed_stops
               << " last_server=" << report.last_server
               << " expected_wait_ms=" << report.expected_wait.count()
               << " free_cpu=" << report.free_cpu
--- a/tests/unit/dispatch/pool_dispatcher_test.cpp
+++ b/tests/unit/dispatch/pool_dispatcher_test.cpp
@@ -311,7 +311,11 @@
     this->end_run("s1", this->starts[0].second, run_outcome::stopped);
     BOOST_TEST(this->starts.size() == 1);
     this->confirm(milliseconds(100));
-    BOOST_TEST(this->starts.size() == 2);
+    BOOST_REQUIRE_EQUAL(this->starts.size(), 2);
+    this->accept_all();
+    this->end_run("s1", this->starts[1].second);
+    BOOST_REQUIRE_EQUAL(this->ended.size(), 1);
+    BOOST_TEST(this->ended[0].report.unconfirmed_stops == 1);
 }
 
 // A confirmation that arrives late does not replace a later one.
