Review: show that two instances hold workers under one fence number

Each derives the fence number of its pools from the same earlier one, so both start tasks on the same workers; these don't guard their capacity and are overloaded (LIMIT).

--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -186,6 +186,7 @@
     added->operators_port = free_port(this->loop, own_address());
     const auto local = [](std::uint16_t port)
     { return own_address() + ":" + std::to_string(port); };
+    const std::uint16_t peers_port = free_port(this->loop, own_address());
     // Filled in as the platform does it.
     const std::map<std::string, std::string> values{
         {"nodeName", added->name},
@@ -193,8 +194,7 @@
         {"listenAddrs.front", local(added->callers_port)},
         {"listenAddrs.readiness", local(added->operators_port)},
         {"ip", own_address()},
-        {"internalPorts.0",
-         std::to_string(free_port(this->loop, own_address()))},
+        {"internalPorts.0", std::to_string(peers_port)},
         {"platform.address",
          "127.0.0.1:" + std::to_string(this->store_standin.port())},
         {"limits.cpuShare", "0.25"},
@@ -209,6 +209,19 @@
     {
         settings = replace_all(settings, "{{" + key + "}}", value);
     }
+    if (this->options.relays)
+    {
+        added->peer_relay = std::make_unique<fault_relay>(
+            this->loop, own_address(), peers_port);
+        added->store_relay = std::make_unique<fault_relay>(
+            this->loop, "127.0.0.1", this->store_standin.port());
+        json object = json::parse(settings);
+        object["announced_peers"] =
+            "127.0.0.1:" + std::to_string(added->peer_relay->port());
+        object["store"] =
+            "127.0.0.1:" + std::to_string(added->store_relay->port());
+        settings = object.dump();
+    }
     std::ofstream(added->settings) << settings;
     added->callers = http_client::create(this->loop, own_address(),
                                          added->callers_port, 256);
@@ -256,6 +269,45 @@
     }
 }
 
+void deployment::cut(node& instance)
+{
+    instance.peer_relay->blackhole(true, true);
+    instance.store_relay->blackhole(true, true);
+}
+
+void deployment::heal(node& instance)
+{
+    instance.peer_relay->heal();
+    instance.store_relay->heal();
+}
+
+std::map<std::string, std::uint64_t> deployment::held_fences(node& instance)
+{
+    std::map<std::string, std::uint64_t> result;
+    bool answered = false;
+    http_call call;
+    call.target = "/state";
+    instance.operators->call(
+        std::move(call),
+        [&](const http_reply& reply)
+        {
+            answered = true;
+            const json state = json::parse(reply.body, nullptr, false);
+            if (!state.is_object() || !state.contains("pools"))
+            {
+                return;
+            }
+            for (const json& pool : state["pools"])
+            {
+                result[pool.value("domain", "") + "/" +
+                       std::to_string(pool.value("shard", 0))] =
+                    pool.value("token", std::uint64_t{0});
+            }
+        });
+    (void)this->loop.run_until([&] { return answered; }, milliseconds(1500));
+    return result;
+}
+
 void deployment::write_entry(worker_standin& worker)
 {
     this->store_standin.write_server(worker.id(), worker.entry());
--- a/review/standins/deployment.hpp
+++ b/review/standins/deployment.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fault_relay.hpp"
 #include "node/http_client.hpp"
 #include "users/log_store_standin.hpp"
 #include "worker_standin.hpp"
@@ -29,6 +30,9 @@
     std::vector<worker_kind> kinds{{"a", 16000}, {"a", 16000}, {"b", 24000}};
     bool guards = true;
     long timeout_ms = 1500; ///< of the route
+    /// Puts a relay before the port for other instances of each instance, and
+    /// one between it and the store, so that it can be cut off.
+    bool relays = false;
 };
 
 /// One instance, a process of its own.
@@ -43,6 +47,8 @@
     pid_t pid = -1;
     std::shared_ptr<http_client> callers;
     std::shared_ptr<http_client> operators;
+    std::unique_ptr<fault_relay> peer_relay;
+    std::unique_ptr<fault_relay> store_relay;
 };
 
 /// Starts instances with the command of the deploy file, and the store and the
@@ -71,7 +77,14 @@
     void signal(const node& instance, int number) const;
     /// Kills the process of an instance.
     void kill(node& instance);
+    /// Cuts an instance off, silently: from the store, and from instances that
+    /// connect to it.
+    static void cut(node& instance);
+    static void heal(node& instance);
     void write_entry(worker_standin& worker);
+    /// Returns the fence number of each pool that an instance holds, by
+    /// `/state`.
+    std::map<std::string, std::uint64_t> held_fences(node& instance);
     /// Returns the names of the instances that hold pools, by `/state`.
     std::vector<std::string> holders();
     /// Sends a request to an instance.
