Review: show that a late start runs beside the task's second run

Starts get no answer and are carried out 2 to 12 s later; some of the servers crash meanwhile and start again under their ids. The new boot has seen no fencing token and carries the late start out (TWICE).

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
-exec "$folder/../standins/run.sh" "$folder" cancelled_job_case
+exec "$folder/../standins/run.sh" "$folder" same_fence_case
--- a/review/standins/worker_standin.cpp
+++ b/review/standins/worker_standin.cpp
@@ -19,6 +19,17 @@
 constexpr milliseconds stop_time{30};
 /// Tokens of one holder for one pool share their upper bits.
 constexpr unsigned token_bits_of_holder = 18;
+/// When a start is carried out late.
+constexpr int min_late_ms = 2000;
+constexpr int max_late_ms = 12000;
+
+/// Drops the answer to a start that is carried out late.
+class silent_responder : public http_responder
+{
+public:
+    void answer(const http_answer&) override {}
+    void on_disconnect(std::function<void()>) override {}
+};
 
 } // namespace
 
@@ -153,6 +164,10 @@
         responder->answer({421, json{{"clockMs", this->clock_ms()}}.dump()});
         return;
     }
+    if (request.target == "/v1/run-start" && this->delay_start(request))
+    {
+        return;
+    }
     if (request.target == "/v1/run-start")
     {
         this->start(request.body, responder);
@@ -171,6 +186,27 @@
     }
 }
 
+bool worker_standin::delay_start(const http_request& request)
+{
+    if (!std::bernoulli_distribution(this->late_share)(this->random))
+    {
+        return false;
+    }
+    const milliseconds delay(std::uniform_int_distribution<int>(
+        min_late_ms, max_late_ms)(this->random));
+    this->loop.after(delay,
+                     [this, body = request.body]
+                     {
+                         if (this->up())
+                         {
+                             this->advance();
+                             this->start(body,
+                                         std::make_shared<silent_responder>());
+                         }
+                     });
+    return true;
+}
+
 void worker_standin::refuse(const std::shared_ptr<http_responder>& responder,
                             const char* reason)
 {
--- a/review/standins/worker_standin.hpp
+++ b/review/standins/worker_standin.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -73,6 +74,9 @@
     bool restart(const worker_kind& kind);
     /// While set, stops get no answer and have no effect.
     void set_stops_lost(bool value) { this->stops_lost = value; }
+    /// Share of the starts that get no answer and are carried out 2 to 12 s
+    /// later, by the boot that then answers at the address.
+    void set_late_starts(double share) { this->late_share = share; }
     [[nodiscard]] bool up() const { return this->server != nullptr; }
     [[nodiscard]] const std::string& id() const { return this->name; }
     [[nodiscard]] const std::string& domain() const { return this->zone; }
@@ -108,6 +112,8 @@
     [[nodiscard]] std::int64_t clock_ms() const;
     [[nodiscard]] std::uint32_t used_cpu() const;
     void begin_boot();
+    /// Returns whether a start is carried out late, and has no answer.
+    bool delay_start(const http_request& request);
     void serve(const http_request& request,
                const std::shared_ptr<http_responder>& responder);
     void start(const std::string& body,
@@ -150,6 +156,8 @@
     /// Ranges of tokens whose sender has had a list of this boot.
     std::set<std::uint64_t> informed;
     bool stops_lost = false;
+    double late_share = 0;
+    std::mt19937 random{std::random_device{}()};
 };
 
 } // namespace jujubedrum::review
