Review: keep the share of late starts to that of the site file

The case used the default of the kinds, 0.5, where the site file has 0.055. Its jobs have more and smaller tasks now, and servers crash three times in a round.

--- a/review/standins/late_start_case.cpp
+++ b/review/standins/late_start_case.cpp
@@ -19,16 +19,16 @@
 constexpr long task_ms = 6000;
 constexpr milliseconds interval{33};
 constexpr std::size_t rounds = 8;
-constexpr std::size_t batches = 2;      ///< of crashes in a round
-constexpr double late_share = 0.5;      ///< default of `kinds`
+constexpr std::size_t batches = 3;      ///< of crashes in a round
+constexpr double late_share = 0.055;    ///< as in the site file
 constexpr milliseconds late_time{5500}; ///< as in the site file
 constexpr milliseconds down_time{1000}; ///< at most 4.5 s in the site file
 
 std::string job_body()
 {
     const nlohmann::json step{
-        {"count", 4}, {"cpu", 400}, {"memMb", 64}, {"estRuntimeMs", task_ms}};
-    return nlohmann::json{{"taskSpec", std::to_string(task_ms) + " 400 -"},
+        {"count", 14}, {"cpu", 100}, {"memMb", 64}, {"estRuntimeMs", task_ms}};
+    return nlohmann::json{{"taskSpec", std::to_string(task_ms) + " 100 -"},
                           {"bestEffort", true},
                           {"steps", {step}}}
         .dump();
@@ -72,7 +72,7 @@
         }
         system.write_entry(*victim);
     }
-    system.run_for(milliseconds(700));
+    system.run_for(milliseconds(600));
     return true;
 }
 
@@ -141,7 +141,7 @@
                 return cannot_run;
             }
         }
-        system.run_for(milliseconds(1000));
+        system.run_for(milliseconds(200));
     }
     sending = false;
     system.run_for(milliseconds(8000));
