--- a/standins/users/log_store_standin.cpp
+++ b/standins/users/log_store_standin.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr milliseconds read_expiry_interval{10};
+const char* const append_path = "/v1/log-append";
 const char* const servers_topic = "keyed.servers";
 
 std::string big_endian(std::uint64_t value, std::size_t bytes)
@@ -158,7 +159,10 @@
                               const entry_filter* filter)
 {
     ++this->call_count;
-    if (this->active_fault == fault::unresponsive)
+    const std::string path = request.target.substr(0, request.target.find('?'));
+    const std::string name = parameter(request.target, "topic");
+    const bool answered = path == append_path || this->admit_read(name);
+    if (this->active_fault == fault::unresponsive || !answered)
     {
         return;
     }
@@ -167,9 +171,7 @@
         responder->answer({503, ""});
         return;
     }
-    const std::string path = request.target.substr(0, request.target.find('?'));
-    const std::string name = parameter(request.target, "topic");
-    if (path == "/v1/log-append")
+    if (path == append_path)
     {
         this->append(name, request.body, responder);
         return;
@@ -197,6 +199,23 @@
     this->read({name, from, responder, instant{0}, filter}, milliseconds(wait));
 }
 
+bool log_store_standin::admit_read(const std::string& name)
+{
+    read_history& history = this->received_reads[name];
+    const instant now = event_loop::now();
+    const bool in_time = this->max_read_gap.count() == 0 ||
+                         now - history.last_at <= this->max_read_gap;
+    ++history.count;
+    history.last_at = now;
+    return in_time;
+}
+
+std::uint64_t log_store_standin::reads_of(const std::string& topic) const
+{
+    const auto found = this->received_reads.find(topic);
+    return found == this->received_reads.end() ? 0 : found->second.count;
+}
+
 void log_store_standin::append(const std::string& name, const std::string& body,
                                const std::shared_ptr<http_responder>& responder)
 {
--- a/standins/users/log_store_standin.hpp
+++ b/standins/users/log_store_standin.hpp
@@ -71,6 +71,13 @@
     {
         this->second_server_list_unresponsive = value;
     }
+    /// While set, a read gets a reply only if it arrives at most this long
+    /// after the last one of its topic, which may have got none. 0 removes the
+    /// limit.
+    void set_max_read_gap(milliseconds gap) { this->max_read_gap = gap; }
+    /// Returns the number of reads of a topic received, also those without a
+    /// reply.
+    [[nodiscard]] std::uint64_t reads_of(const std::string& topic) const;
     /// Drops the records of all topics but keeps the newest value of each key.
     void compact();
     /// Returns the number of requests received.
@@ -96,6 +103,11 @@
         instant until{0};
         const entry_filter* filter = nullptr; ///< null: entries as written
     };
+    struct read_history
+    {
+        std::uint64_t count = 0;
+        instant last_at{0};
+    };
     struct filtered_access
     {
         entry_filter filter;
@@ -105,6 +117,8 @@
     void serve(const http_request& request,
                const std::shared_ptr<http_responder>& responder,
                const entry_filter* filter);
+    /// Counts a read of a topic. Returns whether it gets a reply.
+    bool admit_read(const std::string& name);
     void append(const std::string& name, const std::string& body,
                 const std::shared_ptr<http_responder>& responder);
     void read(waiting_read request, milliseconds wait);
@@ -128,6 +142,8 @@
     bool second_server_list_unresponsive = false;
     std::vector<std::unique_ptr<filtered_access>> filtered;
     std::map<std::string, topic> topics;
+    std::map<std::string, read_history> received_reads; ///< by topic
+    milliseconds max_read_gap{0};
     std::vector<waiting_read> reads;
     fault active_fault = fault::none;
     std::uint64_t call_count = 0;
