--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,5 +1,6 @@
 #include "soak_callers.hpp"
 #include "soak_cluster.hpp"
+#include "soak_configuration.hpp"
 #include "soak_faults.hpp"
 #include "soak_profile.hpp"
 #include "users/free_port.hpp"
@@ -97,14 +98,27 @@
         return violations;
     }
     soak_faults injector(loop, cluster, random, plan.profile, report);
+    soak_configuration configuration(loop, cluster, options.address);
+    configuration.start();
     callers.start();
     injector.start();
     const instant end_time = event_loop::now() + plan.duration;
     loop.run_until([end_time] { return event_loop::now() >= end_time; },
                    forever);
     injector.stop();
+    configuration.stop();
     cluster.heal();
+    configuration.publish();
+    const instant published_at = event_loop::now();
     callers.stop();
+    if (!loop.run_until([&configuration]
+                        { return configuration.in_force_everywhere(); },
+                        completion_timeout))
+    {
+        violations.emplace_back("after the end of all faults, an instance did "
+                                "not put the newest configuration in force");
+    }
+    const microseconds config_delay = event_loop::now() - published_at;
     if (!loop.run_until([&callers] { return callers.idle(); },
                         completion_timeout))
     {
@@ -119,7 +133,8 @@
             "the required probe jobs in time");
     }
     for (const auto* list :
-         {&cluster.recorder().violations(), &callers.violations()})
+         {&cluster.recorder().violations(), &callers.violations(),
+          &configuration.violations()})
     {
         violations.insert(violations.end(), list->begin(), list->end());
     }
@@ -128,7 +143,10 @@
     {
         std::cout << " " << outcome << "=" << count;
     }
-    std::cout << " starts=" << cluster.recorder().total_starts() << "\n";
+    std::cout << " starts=" << cluster.recorder().total_starts()
+              << " config_ms="
+              << std::chrono::duration_cast<milliseconds>(config_delay).count()
+              << "\n";
     return violations;
 }
 
--- a/tests/soak/soak_cluster.cpp
+++ b/tests/soak/soak_cluster.cpp
@@ -30,6 +30,7 @@
 
 soak_cluster::soak_cluster(event_loop& events, const cluster_options& options)
     : loop(events)
+    , profile(options.profile)
     , store_standin(events)
 {
     if (!this->store_standin.listen())
@@ -38,21 +39,7 @@
             "log store stand-in failed to listen on a loopback port; soak run "
             "aborted");
     }
-    this->store_standin.publish(nlohmann::json{
-        {"version", 1},
-        {"routes",
-         {{{"name", "r1"},
-           {"host", "h"},
-           {"pathPrefix", "/q/"},
-           {"backend", "service"},
-           {"timeoutMs",
-            options.profile == soak_profile::standard ? 4000 : 9000},
-           {"targetLatencyMs", 300},
-           {"priority", 0},
-           {"maxAttempts", 3},
-           {"stretch", 3.0}}}},
-        {"services",
-         nlohmann::json::array()}}.dump());
+    this->publish_configuration(1);
     const std::size_t spare_servers =
         options.profile == soak_profile::standard ? 0 : options.spare_servers;
     for (std::size_t i = 0; i < options.servers + spare_servers; ++i)
@@ -141,6 +128,24 @@
     return port;
 }
 
+void soak_cluster::publish_configuration(std::uint64_t version)
+{
+    this->store_standin.publish(nlohmann::json{
+        {"version", version},
+        {"routes",
+         {{{"name", "r1"},
+           {"host", "h"},
+           {"pathPrefix", "/q/"},
+           {"backend", "service"},
+           {"timeoutMs", this->profile == soak_profile::standard ? 4000 : 9000},
+           {"targetLatencyMs", 300},
+           {"priority", 0},
+           {"maxAttempts", 3},
+           {"stretch", 3.0}}}},
+        {"services",
+         nlohmann::json::array()}}.dump());
+}
+
 void soak_cluster::write_entry(const server& backend)
 {
     this->store_standin.write_server(
--- a/tests/soak/soak_cluster.hpp
+++ b/tests/soak/soak_cluster.hpp
@@ -67,6 +67,8 @@
     run_recorder& recorder() { return this->runs; }
     std::vector<node>& nodes() { return this->node_list; }
     std::vector<server>& servers() { return this->server_list; }
+    /// Publishes the configuration under this version.
+    void publish_configuration(std::uint64_t version);
     /// Writes the entry of the backend server to the store.
     void write_entry(const server& backend);
     /// Ends all faults of relays, backend servers and the store, and resumes
@@ -82,6 +84,7 @@
     void watch_processes();
 
     loop_scope loop;
+    soak_profile profile;
     log_store_standin store_standin;
     run_recorder runs;
     std::vector<server> server_list;
