--- a/src/libruntime/node/http_client.cpp
+++ b/src/libruntime/node/http_client.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -68,6 +69,11 @@
                                             held->on_timeout();
                                         }
                                     });
+        this->active_at = event_loop::now();
+        if (this->current->request.on_silence)
+        {
+            this->watch_silence(this->current->request.silence_timeout);
+        }
         if (this->socket.is_open())
         {
             this->send();
@@ -155,10 +161,57 @@
             });
         this->parser.emplace();
         this->parser->body_limit(this->current->request.max_reply_bytes);
-        http::async_read(this->socket, this->buffer, *this->parser,
-                         [self = this->shared_from_this()](
-                             const boost::system::error_code& error,
-                             std::size_t) { self->on_reply(error); });
+        this->parser->eager(true);
+        this->read_some();
+    }
+
+    void read_some()
+    {
+        http::async_read_some(
+            this->socket, this->buffer, *this->parser,
+            [self = this->shared_from_this()](
+                const boost::system::error_code& error, std::size_t)
+            {
+                self->active_at = event_loop::now();
+                if (error || self->parser->is_done())
+                {
+                    self->on_reply(error);
+                    return;
+                }
+                self->read_some();
+            });
+    }
+
+    void watch_silence(microseconds delay)
+    {
+        this->silence_timer =
+            this->owner->loop.after(delay,
+                                    [self = this->weak_from_this()]
+                                    {
+                                        if (const auto held = self.lock())
+                                        {
+                                            held->silence_timer.reset();
+                                            held->check_silence();
+                                        }
+                                    });
+    }
+
+    void check_silence()
+    {
+        if (!this->current)
+        {
+            return;
+        }
+        const microseconds limit = this->current->request.silence_timeout;
+        const microseconds silent = event_loop::now() - this->active_at;
+        if (silent < limit)
+        {
+            this->watch_silence(limit - silent);
+            return;
+        }
+        const auto notify =
+            std::exchange(this->current->request.on_silence, nullptr);
+        notify();
     }
 
     void on_reply(const boost::system::error_code& error)
@@ -250,7 +303,8 @@
 
     void cancel_timers()
     {
-        for (auto* pending : {&this->timer, &this->connect_timer})
+        for (auto* pending :
+             {&this->timer, &this->connect_timer, &this->silence_timer})
         {
             if (*pending)
             {
@@ -271,6 +325,8 @@
     instant sent_at{0};
     std::optional<event_loop::timer_id> timer;
     std::optional<event_loop::timer_id> connect_timer;
+    instant active_at{0}; ///< when the call was started or bytes arrived
+    std::optional<event_loop::timer_id> silence_timer;
 };
 
 std::shared_ptr<http_client> http_client::create(event_loop& loop,
@@ -343,6 +399,10 @@
     this->expire_waiting();
     while (!this->closed && !this->waiting.empty())
     {
+        if (this->waiting.front().request.new_connection)
+        {
+            this->close_idle();
+        }
         std::shared_ptr<connection> conn;
         if (!this->idle.empty())
         {
@@ -364,6 +424,15 @@
     }
 }
 
+void http_client::close_idle()
+{
+    for (const auto& conn : this->idle)
+    {
+        conn->close_socket();
+    }
+    this->idle.clear();
+}
+
 void http_client::release_connection(const std::shared_ptr<connection>& conn,
                                      bool reusable)
 {
--- a/src/libruntime/node/http_client.hpp
+++ b/src/libruntime/node/http_client.hpp
@@ -32,6 +32,14 @@
     /// The server replies at once, so that the time of its reply is a sample of
     /// the round-trip time.
     bool replied_at_once = false;
+    /// Called once if the connection receives nothing for `silence_timeout`
+    /// after the call was started or after the last bytes of its reply. The
+    /// call goes on. May be unset.
+    std::function<void()> on_silence;
+    milliseconds silence_timeout{0};
+    /// Opens a new connection and closes the idle ones, which may have gone
+    /// silent with the one of an earlier call.
+    bool new_connection = false;
 };
 
 /// Whether a call got a reply and, if not, whether it was sent.
@@ -101,6 +109,7 @@
     http_client(event_loop& loop, std::string address, std::uint16_t port,
                 std::size_t max_connections);
     void dispatch();
+    void close_idle();
     /// Completes the waiting calls whose time is over as not sent.
     void expire_waiting();
     /// Calls back later with a result without a reply, unless closed by then.
--- a/tests/unit/dispatch/http_client_test.cpp
+++ b/tests/unit/dispatch/http_client_test.cpp
@@ -1,6 +1,8 @@
 #include "node/http_client.hpp"
 #include "node/http_server.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <memory>
@@ -217,6 +219,85 @@
     BOOST_TEST(this->client->connections_opened() == 1U);
 }
 
+// Guards against a slow reply that is lost because silence ended its call.
+BOOST_AUTO_TEST_CASE(call_silent_is_reported_once_and_still_gets_its_reply)
+{
+    http_call request;
+    request.target = "/slow";
+    request.timeout = wait_timeout;
+    request.silence_timeout = call_timeout;
+    std::size_t silences = 0;
+    request.on_silence = [&silences] { ++silences; };
+    std::optional<http_reply> result;
+    this->client->call(request, [&result](http_reply reply)
+                       { result = std::move(reply); });
+    BOOST_REQUIRE(
+        this->loop.run_until([&] { return silences > 0; }, wait_timeout));
+    this->loop.run_until([] { return false; }, 3 * call_timeout);
+    BOOST_REQUIRE(this->waiting.size() == 1U);
+    this->waiting.front()->answer({200, "slow"});
+    BOOST_REQUIRE(
+        this->loop.run_until([&] { return result.has_value(); }, wait_timeout));
+    BOOST_TEST(result->body == "slow");
+    BOOST_TEST(silences == 1U);
+    BOOST_TEST(this->client->connections_opened() == 1U);
+}
+
+// Guards against a call on a connection that has gone silent while it was idle.
+BOOST_AUTO_TEST_CASE(call_on_new_connection_closes_idle_ones)
+{
+    this->reply_at_once = true;
+    BOOST_CHECK(this->call().result == http_result::replied);
+    http_call request;
+    request.target = "/again";
+    request.timeout = wait_timeout;
+    request.new_connection = true;
+    std::optional<http_reply> result;
+    this->client->call(request, [&result](http_reply reply)
+                       { result = std::move(reply); });
+    BOOST_REQUIRE(
+        this->loop.run_until([&] { return result.has_value(); }, wait_timeout));
+    BOOST_CHECK(result->result == http_result::replied);
+    BOOST_TEST(this->client->connections_opened() == 2U);
+    BOOST_CHECK(this->loop.run_until(
+        [&] { return this->server.connections() == 1; }, wait_timeout));
+}
+
+// Guards against a reply that stops in the middle and is not noticed.
+BOOST_AUTO_TEST_CASE(call_silent_in_the_middle_of_its_reply_is_reported)
+{
+    using boost::asio::ip::tcp;
+    tcp::acceptor acceptor(this->loop.context(),
+                           {boost::asio::ip::address_v4::loopback(), 0});
+    tcp::socket socket(this->loop.context());
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab";
+    acceptor.async_accept(socket,
+                          [&](const boost::system::error_code& error)
+                          {
+                              BOOST_REQUIRE(!error);
+                              boost::asio::write(socket,
+                                                 boost::asio::buffer(head));
+                          });
+    const auto caller = http_client::create(
+        this->loop, "127.0.0.1", acceptor.local_endpoint().port(), 1);
+    http_call request;
+    request.target = "/";
+    request.timeout = wait_timeout;
+    request.silence_timeout = call_timeout;
+    bool silent = false;
+    request.on_silence = [&silent] { silent = true; };
+    std::optional<http_reply> result;
+    caller->call(request,
+                 [&result](http_reply reply) { result = std::move(reply); });
+    BOOST_REQUIRE(this->loop.run_until([&] { return silent; }, wait_timeout));
+    BOOST_TEST(!result.has_value());
+    boost::asio::write(socket, boost::asio::buffer("cd", 2));
+    BOOST_REQUIRE(
+        this->loop.run_until([&] { return result.has_value(); }, wait_timeout));
+    BOOST_TEST(result->body == "abcd");
+    caller->close();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubedrum
