Count the pause after a failed read of config from its start

jujubedrumd promises that a configuration is in force within 6 s. The pause now counts from the start of the failed read, so that a lost one is followed at once; reads that fail at once are spaced as before.

--- a/src/libruntime/platform_link.cpp
+++ b/src/libruntime/platform_link.cpp
@@ -12,7 +12,8 @@
 namespace
 {
 
-/// Wait after a failed read of stream `config`; doubles up to the maximum.
+/// Time from a failed read of stream `config` to the next one; doubles up to
+/// the maximum.
 constexpr milliseconds min_backoff{100};
 constexpr milliseconds max_backoff{2000};
 
@@ -105,6 +106,7 @@
     for (;;)
     {
         platform_reason why;
+        const instant requested_at = this->clock();
         auto page = this->config_client->read(
             config_controller::stream, next, max_page_records,
             this->config.tunables().config_poll_wait, why);
@@ -117,7 +119,11 @@
                     << why.message() << "\"";
             }
             this->post(read_failed_event{config_controller::stream});
-            if (!this->sleep_unless_stopping(backoff))
+            // A lost read has already lasted for its time-out.
+            const auto elapsed = std::chrono::duration_cast<milliseconds>(
+                this->clock() - requested_at);
+            if (!this->sleep_unless_stopping(
+                    std::max(milliseconds(0), backoff - elapsed)))
             {
                 return;
             }
