--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -152,17 +152,22 @@
 {
     for (const auto& [id, each] : this->servers)
     {
-        this->log_store.write_server(
-            id, each.standin->entry(each.domain, each.standin->port()));
+        if (each.listed)
+        {
+            this->log_store.write_server(
+                id, each.standin->entry(each.domain, each.standin->port()));
+        }
     }
     this->loop.after(entry_interval, [this] { this->refresh_entries(); });
 }
 
 std::shared_ptr<deployment::caller_attempt>
 deployment::submit(node& to, const std::string& job, std::uint32_t tasks,
-                   milliseconds declared, milliseconds real, milliseconds limit)
+                   milliseconds declared, milliseconds real, milliseconds limit,
+                   const std::string& argument)
 {
-    const std::string payload = std::to_string(real.count()) + " " + job;
+    const std::string payload =
+        std::to_string(real.count()) + " " + job + argument;
     this->recorder.expect(job, payload);
     this->note("send job " + job + " to " + to.name);
     http_call call;
@@ -197,6 +202,23 @@
     return attempt;
 }
 
+void deployment::drain_server(const std::string& id)
+{
+    const backend& server = this->servers.at(id);
+    server.standin->set_draining(true);
+    this->log_store.write_server(
+        id, server.standin->entry(server.domain, server.standin->port()));
+    this->note("server " + id + " is listed as draining");
+}
+
+void deployment::remove_server(const std::string& id)
+{
+    this->servers.at(id).listed = false;
+    this->servers.at(id).standin->set_unresponsive(true);
+    this->log_store.write_server(id, "");
+    this->note("server " + id + " has left");
+}
+
 void deployment::note(const std::string& text)
 {
     this->record << event_loop::wall_now().count() << " " << text << "\n"
--- a/review/standins-2/deployment.hpp
+++ b/review/standins-2/deployment.hpp
@@ -57,9 +57,15 @@
     bool await_ready(milliseconds limit);
 
     /// Sends a job of tasks of 6.8 cores to an instance, as a caller does.
+    /// \param argument appended to the job's `taskSpec`.
     std::shared_ptr<caller_attempt>
     submit(node& to, const std::string& job, std::uint32_t tasks,
-           milliseconds declared, milliseconds real, milliseconds limit);
+           milliseconds declared, milliseconds real, milliseconds limit,
+           const std::string& argument = "");
+    /// Lists a server as draining from now on.
+    void drain_server(const std::string& id);
+    /// Removes the entry of a server, which has left.
+    void remove_server(const std::string& id);
     void note(const std::string& text);
     [[nodiscard]] const run_recorder& runs() const { return this->recorder; }
     [[nodiscard]] event_loop& events() { return this->loop; }
@@ -74,6 +80,7 @@
     {
         std::string domain;
         std::unique_ptr<task_server_standin> standin;
+        bool listed = true;
     };
 
     void refresh_entries();
