--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -49,7 +49,7 @@
                           {"host", "h"},
                           {"pathPrefix", "/q/"},
                           {"backend", "service"},
-                          {"timeoutMs", 1500},
+                          {"timeoutMs", 9000},
                           {"targetLatencyMs", 100},
                           {"priority", 0},
                           {"maxAttempts", 3},
@@ -185,17 +185,71 @@
                                   {"estRuntimeMs", declared.count()}}}}}
                     .dump();
     call.timeout = limit;
+    return this->call(to, job, std::move(call));
+}
+
+std::shared_ptr<deployment::caller_attempt>
+deployment::submit_steps(node& to, const std::string& job, std::uint32_t steps,
+                         milliseconds run_time, milliseconds limit)
+{
+    const std::string payload = std::to_string(run_time.count()) + " " + job;
+    this->recorder.expect(job, payload);
+    this->note("send job " + job + " of " + std::to_string(steps) +
+               " steps to " + to.name);
+    nlohmann::json list = nlohmann::json::array();
+    for (std::uint32_t step = 0; step < steps; ++step)
+    {
+        list.push_back({{"count", 1},
+                        {"cpu", task_cpu_milli},
+                        {"memMb", 64},
+                        {"estRuntimeMs", run_time.count()}});
+        if (step > 0)
+        {
+            list.back()["after"] = {step - 1};
+        }
+    }
+    http_call call;
+    call.method = "POST";
+    call.target = "/q/" + job;
+    call.host = "h";
+    call.headers = {
+        {"X-Jujubedrum-Deadline-Ms", std::to_string(limit.count())}};
+    call.body = nlohmann::json{
+        {"taskSpec", payload},
+        {"bestEffort", true},
+        {"steps",
+         list}}.dump();
+    call.timeout = limit;
+    return this->call(to, job, std::move(call));
+}
+
+std::shared_ptr<deployment::caller_attempt>
+deployment::cancel(node& to, const std::string& job, milliseconds limit)
+{
+    this->note("cancel job " + job + " at " + to.name);
+    http_call call;
+    call.method = "DELETE";
+    call.target = "/q/" + job;
+    call.host = "h";
+    call.timeout = limit;
+    return this->call(to, job, std::move(call));
+}
+
+std::shared_ptr<deployment::caller_attempt>
+deployment::call(node& to, const std::string& job, http_call request)
+{
     auto attempt = std::make_shared<caller_attempt>();
     attempt->job = job;
+    const std::string what = request.method + " of job " + job;
     to.client->call(
-        std::move(call),
-        [this, attempt, name = to.name](const http_reply& reply)
+        std::move(request),
+        [this, attempt, what, name = to.name](const http_reply& reply)
         {
             attempt->status = reply.status;
             attempt->ended = true;
             const auto body = nlohmann::json::parse(reply.body, nullptr, false);
             attempt->state = body.is_object() ? body.value("state", "") : "";
-            this->note("answer of " + name + " to job " + attempt->job + ": " +
+            this->note("answer of " + name + " to " + what + ": " +
                        std::to_string(reply.status) + " " + reply.body +
                        reply.error);
         });
--- a/review/standins-2/deployment.hpp
+++ b/review/standins-2/deployment.hpp
@@ -62,6 +62,13 @@
     submit(node& to, const std::string& job, std::uint32_t tasks,
            milliseconds declared, milliseconds real, milliseconds limit,
            const std::string& argument = "");
+    /// Sends a job of steps, each after the previous one and with one task.
+    std::shared_ptr<caller_attempt>
+    submit_steps(node& to, const std::string& job, std::uint32_t steps,
+                 milliseconds run_time, milliseconds limit);
+    /// Cancels a job.
+    std::shared_ptr<caller_attempt> cancel(node& to, const std::string& job,
+                                           milliseconds limit);
     /// Lists a server as draining from now on.
     void drain_server(const std::string& id);
     /// Removes the entry of a server, which has left.
@@ -83,6 +90,8 @@
         bool listed = true;
     };
 
+    std::shared_ptr<caller_attempt> call(node& to, const std::string& job,
+                                         http_call request);
     void refresh_entries();
     void probe_readiness();
 
--- a/review/standins-2/held_relay.cpp
+++ b/review/standins-2/held_relay.cpp
@@ -197,6 +197,7 @@
             }
             const auto added =
                 std::make_shared<connection>(*this, std::move(socket));
+            added->set_held(this->hold_new);
             this->connections.insert(added);
             added->connect();
             this->accept();
@@ -213,6 +214,7 @@
 
 void held_relay::release()
 {
+    this->hold_new = false;
     const auto all = this->connections;
     for (const auto& each : all)
     {
--- a/review/standins-2/held_relay.hpp
+++ b/review/standins-2/held_relay.hpp
@@ -29,7 +29,9 @@
     /// Holds all further bytes of the open connections, in both directions,
     /// also the end of a connection. New connections are not affected.
     void hold_open_connections();
-    /// Delivers the held bytes, and what follows them.
+    /// Holds the bytes of new connections until release().
+    void hold_new_connections() { this->hold_new = true; }
+    /// Delivers the held bytes, and what follows them. Ends a partition.
     void release();
     /// Returns the number of open connections that are not held.
     [[nodiscard]] std::size_t fresh_connections() const;
@@ -46,6 +48,7 @@
     std::uint16_t target;
     boost::asio::ip::tcp::acceptor acceptor;
     std::set<std::shared_ptr<connection>> connections;
+    bool hold_new = false;
 };
 
 } // namespace jujubedrum
