Close links that the peer has closed before reading from them

A job was sent to a holder in a cut of 0.3 s, the accepting instance closed the link and opened another one, the holder refused the job there, another holder ran it, and then the first one read the copy on the closed link and started it.

Cause: a refusal over the new link was taken as proof that the holder will not start the job. It does not cover what is still under way on another connection, which the holder reads until it notices its end.

Change: instances tell each other which links they have open, first over each new link and over the others when one closes, and close the rest unread. What follows on the new link then comes after everything that was given up. Jobs of a link that closes while another one is open go on for 150 ms, so that a resubmission does not stop their runs.

The relay of the soak can now delay open connections alone; the unit tests use it.

--- a/src/libruntime/node/dispatch.capnp
+++ b/src/libruntime/node/dispatch.capnp
@@ -31,6 +31,7 @@
   evacuations @13 :List(Evacuation);
   evacuationsKnown @14 :Bool;  # false in messages of earlier versions
   acceptsRecall @15 :Bool;
+  acceptsLinkState @16 :Bool;
 }
 
 # The newest operator record on the evacuation of a failure domain.
@@ -126,6 +127,14 @@
   serverNumber @0 :UInt64;
 }
 
+# The links that the sender has open to the receiver, by the sender's numbers.
+# Sent only to peers that accept it.
+struct LinkState {
+  link @0 :UInt64;  # that carries this message
+  openLinks @1 :List(UInt64);
+  newestLink @2 :UInt64;
+}
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -137,5 +146,6 @@
     seen @6 :Seen;
     confirm @7 :Confirm;
     recall @8 :Recall;
+    linkState @9 :LinkState;
   }
 }
--- a/src/libruntime/node/dispatch.capnp.h
+++ b/src/libruntime/node/dispatch.capnp.h
@@ -30,6 +30,7 @@
 CAPNP_DECLARE_SCHEMA(82ec048440570a08);
 CAPNP_DECLARE_SCHEMA(bde62f4d5716509a);
 CAPNP_DECLARE_SCHEMA(84e0dc0704ef15ea);
+CAPNP_DECLARE_SCHEMA(cbd4383576dac6d5);
 CAPNP_DECLARE_SCHEMA(ff0d3a1960dd2971);
 
 }  // namespace schemas
@@ -248,6 +249,21 @@
   };
 };
 
+struct LinkState {
+  LinkState() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cbd4383576dac6d5, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Message {
   Message() = delete;
 
@@ -264,6 +280,7 @@
     SEEN,
     CONFIRM,
     RECALL,
+    LINK_STATE,
   };
 
   struct _capnpPrivate {
@@ -443,6 +460,8 @@
 
   inline bool getAcceptsRecall() const;
 
+  inline bool getAcceptsLinkState() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -544,6 +563,9 @@
   inline bool getAcceptsRecall();
   inline void setAcceptsRecall(bool value);
 
+  inline bool getAcceptsLinkState();
+  inline void setAcceptsLinkState(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1747,6 +1769,98 @@
 };
 #endif  // !CAPNP_LITE
 
+class LinkState::Reader {
+public:
+  typedef LinkState Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getLink() const;
+
+  inline bool hasOpenLinks() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getOpenLinks() const;
+
+  inline  ::uint64_t getNewestLink() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LinkState::Builder {
+public:
+  typedef LinkState Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getLink();
+  inline void setLink( ::uint64_t value);
+
+  inline bool hasOpenLinks();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getOpenLinks();
+  inline void setOpenLinks( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setOpenLinks(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initOpenLinks(unsigned int size);
+  inline void adoptOpenLinks(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownOpenLinks();
+
+  inline  ::uint64_t getNewestLink();
+  inline void setNewestLink( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LinkState::Pipeline {
+public:
+  typedef LinkState Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Message::Reader {
 public:
   typedef Message Reads;
@@ -1801,6 +1915,10 @@
   inline bool hasRecall() const;
   inline  ::jujubedrum::dispatch_wire::Recall::Reader getRecall() const;
 
+  inline bool isLinkState() const;
+  inline bool hasLinkState() const;
+  inline  ::jujubedrum::dispatch_wire::LinkState::Reader getLinkState() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1902,6 +2020,14 @@
   inline void adoptRecall(::capnp::Orphan< ::jujubedrum::dispatch_wire::Recall>&& value);
   inline ::capnp::Orphan< ::jujubedrum::dispatch_wire::Recall> disownRecall();
 
+  inline bool isLinkState();
+  inline bool hasLinkState();
+  inline  ::jujubedrum::dispatch_wire::LinkState::Builder getLinkState();
+  inline void setLinkState( ::jujubedrum::dispatch_wire::LinkState::Reader value);
+  inline  ::jujubedrum::dispatch_wire::LinkState::Builder initLinkState();
+  inline void adoptLinkState(::capnp::Orphan< ::jujubedrum::dispatch_wire::LinkState>&& value);
+  inline ::capnp::Orphan< ::jujubedrum::dispatch_wire::LinkState> disownLinkState();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2411,6 +2537,20 @@
       ::capnp::bounded<99>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Hello::Reader::getAcceptsLinkState() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<100>() * ::capnp::ELEMENTS);
+}
+
+inline bool Hello::Builder::getAcceptsLinkState() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<100>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setAcceptsLinkState(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<100>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Evacuation::Reader::hasDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3421,6 +3561,72 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t LinkState::Reader::getLink() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LinkState::Builder::getLink() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LinkState::Builder::setLink( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LinkState::Reader::hasOpenLinks() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LinkState::Builder::hasOpenLinks() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader LinkState::Reader::getOpenLinks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder LinkState::Builder::getOpenLinks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkState::Builder::setOpenLinks( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void LinkState::Builder::setOpenLinks(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder LinkState::Builder::initOpenLinks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LinkState::Builder::adoptOpenLinks(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> LinkState::Builder::disownOpenLinks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t LinkState::Reader::getNewestLink() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LinkState::Builder::getNewestLink() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LinkState::Builder::setNewestLink( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::jujubedrum::dispatch_wire::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3916,6 +4122,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isLinkState() const {
+  return which() == Message::LINK_STATE;
+}
+inline bool Message::Builder::isLinkState() {
+  return which() == Message::LINK_STATE;
+}
+inline bool Message::Reader::hasLinkState() const {
+  if (which() != Message::LINK_STATE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasLinkState() {
+  if (which() != Message::LINK_STATE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::jujubedrum::dispatch_wire::LinkState::Reader Message::Reader::getLinkState() const {
+  KJ_IREQUIRE((which() == Message::LINK_STATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::LinkState>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::jujubedrum::dispatch_wire::LinkState::Builder Message::Builder::getLinkState() {
+  KJ_IREQUIRE((which() == Message::LINK_STATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::LinkState>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setLinkState( ::jujubedrum::dispatch_wire::LinkState::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::LINK_STATE);
+  ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::LinkState>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::jujubedrum::dispatch_wire::LinkState::Builder Message::Builder::initLinkState() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::LINK_STATE);
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::LinkState>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptLinkState(
+    ::capnp::Orphan< ::jujubedrum::dispatch_wire::LinkState>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::LINK_STATE);
+  ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::LinkState>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::jujubedrum::dispatch_wire::LinkState> Message::Builder::disownLinkState() {
+  KJ_IREQUIRE((which() == Message::LINK_STATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::jujubedrum::dispatch_wire::LinkState>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libruntime/node/dispatch_node.cpp
+++ b/src/libruntime/node/dispatch_node.cpp
@@ -21,6 +21,9 @@
 constexpr seconds announce_interval{5};
 /// Interval between log lines on jobs that were refused, displaced or late.
 constexpr seconds overload_report_interval{10};
+/// Time in which a peer submits its open jobs again after one of its links has
+/// closed: the next tick of 20 ms after it has read a heartbeat on another one.
+constexpr milliseconds resubmission_time{150};
 /// Delay after which a caller refused by a stopping instance may try another.
 constexpr milliseconds stopping_retry_after{500};
 
@@ -197,6 +200,12 @@
 std::optional<submission_key>
 dispatch_node::key_of(const job_origin& origin) const
 {
+    const auto closed = this->closed_origins.find(origin.instance);
+    if (closed != this->closed_origins.end())
+    {
+        return submission_key{closed->second.name, closed->second.boot,
+                              origin.ticket};
+    }
     const auto peer = this->peers.find(origin.instance);
     if (peer == this->peers.end())
     {
@@ -354,15 +363,45 @@
     }
     this->counts.add("peer_lost");
     LOG(INFO) << "peer: lost; name=" << name << " reason=\"" << reason << "\"";
-    const instance_view closed_peer = this->peers[link].instance;
+    const heartbeat_message closed_peer = this->peers[link];
     this->peers.erase(link);
-    this->dispatcher.cancel_origin(link, "accepting instance lost",
-                                   event_loop::now());
-    this->router.on_link_closed(link, closed_peer);
+    this->cancel_jobs_of_link(link, closed_peer);
+    this->router.on_link_closed(link, closed_peer.instance);
     this->pools.on_link_closed(link);
     this->router.resubmit_orphaned_jobs(this->pools.self_view());
 }
 
+void dispatch_node::cancel_jobs_of_link(std::uint64_t link,
+                                        const heartbeat_message& closed_peer)
+{
+    const instance_boot origin{closed_peer.instance.name,
+                               closed_peer.instance.boot};
+    const bool linked = std::any_of(
+        this->peers.begin(), this->peers.end(),
+        [&origin](const auto& entry)
+        {
+            const instance_view& peer = entry.second.instance;
+            return peer.name == origin.name && peer.boot == origin.boot;
+        });
+    // Without confirmations nothing else ends the job of a caller that leaves.
+    const bool confirms = closed_peer.sent_at.count() != 0;
+    if (!linked || !confirms)
+    {
+        this->dispatcher.cancel_origin(link, "accepting instance lost",
+                                       event_loop::now());
+        return;
+    }
+    this->closed_origins.emplace(link, origin);
+    this->loop.after(resubmission_time,
+                     [this, link]
+                     {
+                         this->closed_origins.erase(link);
+                         this->dispatcher.cancel_origin(
+                             link, "accepting instance lost",
+                             event_loop::now());
+                     });
+}
+
 void dispatch_node::on_peer_failed(const std::string& name)
 {
     if (this->stopped)
--- a/src/libruntime/node/dispatch_node.hpp
+++ b/src/libruntime/node/dispatch_node.hpp
@@ -97,6 +97,11 @@
     /// known.
     [[nodiscard]] std::optional<submission_key>
     key_of(const job_origin& origin) const;
+    /// Ends the jobs that were submitted over a closed link. If the same start
+    /// of the peer has another link, they go on for a moment, in which it
+    /// submits those again that it still waits for.
+    void cancel_jobs_of_link(std::uint64_t link,
+                             const heartbeat_message& closed_peer);
     /// Sends the result again if the submission repeats one whose job has ended
     /// here. Returns whether it does.
     bool answer_ended_job(std::uint64_t link, const submit_message& submitted);
@@ -138,6 +143,8 @@
     pool_manager pools;
     pool_dispatcher dispatcher;
     result_cache ended_jobs;
+    /// Peers of closed links whose jobs go on until they are submitted again.
+    std::map<std::uint64_t, instance_boot> closed_origins;
     cancelled_jobs cancelled;
     peer_mesh mesh;
     job_router router;
--- a/src/libruntime/node/job_router.cpp
+++ b/src/libruntime/node/job_router.cpp
@@ -96,7 +96,9 @@
     {
         job.may_have_run = true;
     }
-    if (!handed_back && ended.result.outcome != job_outcome::refused)
+    const bool given_back =
+        handed_back || ended.result.outcome == job_outcome::refused;
+    if (!given_back || job.may_be_read_late)
     {
         this->finish_job(ended.ticket, ended.result);
         return;
@@ -676,6 +678,7 @@
         return;
     }
     job.link = holder->first;
+    job.may_be_read_late = !this->mesh.discards_closed_links(job.link);
     job.holder = before.name;
     job.sent = event_loop::now();
     job.tried_holders.insert(job.holder);
--- a/src/libruntime/node/job_router.hpp
+++ b/src/libruntime/node/job_router.hpp
@@ -103,6 +103,9 @@
         std::optional<job_result> last_refusal;
         /// A holder disconnected with it, or handed it back.
         bool may_have_run = false;
+        /// The holder may still read the submission that was sent over a closed
+        /// link, and start the job after it has refused the next one.
+        bool may_be_read_late = false;
     };
     /// A holder whose link closed, and the open jobs that were sent to it.
     struct disconnected_holder
--- a/src/libruntime/node/peer_mesh.cpp
+++ b/src/libruntime/node/peer_mesh.cpp
@@ -33,6 +33,8 @@
 constexpr milliseconds tick_interval{100};
 /// Reason logged for a link that timed out.
 constexpr const char* timeout_reason = "silent";
+/// Reason logged for a link of which the peer has closed its end.
+constexpr const char* closed_by_peer_reason = "closed by the peer";
 
 std::uint32_t low_bits_of_milliseconds(instant time)
 {
@@ -576,6 +578,7 @@
     this->heartbeat_frames.clear();
     this->alive_frames.clear();
     this->close_timed_out_links();
+    this->closed_links.remove_expired(event_loop::now());
     this->dial_missing_members();
     this->update_open_jobs();
     this->send_due_heartbeats();
@@ -637,12 +640,18 @@
     }
     if (heartbeat == nullptr)
     {
-        if (at != this->peers.end())
+        if (at == this->peers.end())
         {
-            at->second.last_received = event_loop::now();
-            on_job_message(at->second, message);
-            this->listener.on_message(number, message);
+            return;
         }
+        at->second.last_received = event_loop::now();
+        if (const auto* links = std::get_if<link_state_message>(&message))
+        {
+            this->on_link_state(number, links->state);
+            return;
+        }
+        on_job_message(at->second, message);
+        this->listener.on_message(number, message);
         return;
     }
     this->reconnecting.erase(heartbeat->instance.name);
@@ -656,9 +665,102 @@
             "heartbeat with another name than before");
         return;
     }
-    peer_state& peer = this->peers[number];
-    peer.heartbeat = *heartbeat;
-    this->on_heartbeat(number, peer, heartbeat->interval);
+    const bool first = at == this->peers.end();
+    this->peers[number].heartbeat = *heartbeat;
+    if (first)
+    {
+        // Before the listener sends jobs over the link.
+        this->send_link_state(number);
+    }
+    at = this->peers.find(number);
+    if (at == this->peers.end())
+    {
+        return;
+    }
+    this->on_heartbeat(number, at->second, heartbeat->interval);
+    if (first && !heartbeat->accepts_link_state)
+    {
+        this->close_superseded_links(heartbeat->instance);
+    }
+}
+
+void peer_mesh::send_link_states(const std::string& name)
+{
+    std::vector<std::uint64_t> numbers;
+    for (const auto& [number, peer] : this->peers)
+    {
+        if (peer.heartbeat.instance.name == name)
+        {
+            numbers.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : numbers)
+    {
+        this->send_link_state(number);
+    }
+}
+
+void peer_mesh::send_link_state(std::uint64_t number)
+{
+    const auto at = this->links.find(number);
+    const auto receiver = this->peers.find(number);
+    if (at == this->links.end() || receiver == this->peers.end() ||
+        !receiver->second.heartbeat.accepts_link_state)
+    {
+        return;
+    }
+    const std::string& name = receiver->second.heartbeat.instance.name;
+    peer_link_state state{number, {}, this->next_link - 1};
+    for (const auto& [other, each] : this->links)
+    {
+        const auto peer = this->peers.find(other);
+        // The peer of an accepted link without a heartbeat is not known yet.
+        const std::string& other_name =
+            peer == this->peers.end() ? each->dialed_name
+                                      : peer->second.heartbeat.instance.name;
+        if (!each->is_closed() && (other_name.empty() || other_name == name))
+        {
+            state.open_links.push_back(other);
+        }
+    }
+    at->second->send(encode_frame(link_state_message{std::move(state)}));
+}
+
+void peer_mesh::on_link_state(std::uint64_t number,
+                              const peer_link_state& state)
+{
+    const instance_view& instance = this->peers.at(number).heartbeat.instance;
+    const auto closed = this->closed_links.update(
+        number, {instance.name, instance.boot}, state, event_loop::now());
+    for (const std::uint64_t each : closed)
+    {
+        const auto at = this->links.find(each);
+        if (at != this->links.end())
+        {
+            const auto keep_alive = at->second;
+            keep_alive->close(closed_by_peer_reason);
+        }
+    }
+}
+
+void peer_mesh::close_superseded_links(const instance_view& instance)
+{
+    std::vector<std::shared_ptr<link>> same_boot;
+    for (const auto& [number, peer] : this->peers)
+    {
+        const instance_view& other = peer.heartbeat.instance;
+        const auto at = this->links.find(number);
+        if (other.name == instance.name && other.boot == instance.boot &&
+            at != this->links.end())
+        {
+            same_boot.push_back(at->second);
+        }
+    }
+    // They are in the order in which they were opened or accepted.
+    for (std::size_t i = 0; i + 1 < same_boot.size(); ++i)
+    {
+        same_boot[i]->close("superseded by a newer link");
+    }
 }
 
 void peer_mesh::on_heartbeat(std::uint64_t number, peer_state& peer,
@@ -679,6 +781,7 @@
                                    ? std::string()
                                    : closed->second->dialed_name;
     this->links.erase(number);
+    this->closed_links.remove_link(number);
     const auto at = this->peers.find(number);
     if (at == this->peers.end())
     {
@@ -689,6 +792,8 @@
     const instance_view instance = at->second.heartbeat.instance;
     this->peers.erase(at);
     this->linked_names.erase(this->linked_names.find(instance.name));
+    // Before the jobs that were sent over the closed link are sent again.
+    this->send_link_states(instance.name);
     if (reason != timeout_reason)
     {
         this->await_reconnect(instance);
@@ -796,6 +901,12 @@
                heartbeat_timing::suspect_timeout(at->second.heartbeat.interval);
 }
 
+bool peer_mesh::discards_closed_links(std::uint64_t number) const
+{
+    const auto at = this->peers.find(number);
+    return at != this->peers.end() && at->second.heartbeat.accepts_link_state;
+}
+
 milliseconds peer_mesh::last_message_age(std::uint64_t number) const
 {
     const auto at = this->peers.find(number);
--- a/src/libruntime/node/peer_mesh.hpp
+++ b/src/libruntime/node/peer_mesh.hpp
@@ -59,6 +59,10 @@
 /// closed when nothing arrives on it for `heartbeat_timing::dead_timeout` of
 /// the heartbeat interval that the peer announced.
 ///
+/// A `link_state_message` follows the first heartbeat of the peer, and goes
+/// over the other links to a peer when one of them closes. A link that the peer
+/// has closed is closed here as well, whatever is still unread on it.
+///
 /// A `confirm_message` precedes each job sent to a holder, and follows each
 /// heartbeat to it until the job has ended.
 class peer_mesh
@@ -109,6 +113,10 @@
     [[nodiscard]] std::vector<instance_view> live_instances() const;
     /// Returns whether the peer is not suspect, so that it may get jobs.
     [[nodiscard]] bool is_responsive(std::uint64_t link) const;
+    /// Returns whether the peer closes a link here once it has read that this
+    /// instance has closed it. Those of earlier versions may read what was sent
+    /// over it until they notice its end.
+    [[nodiscard]] bool discards_closed_links(std::uint64_t link) const;
     /// Returns the time since the last message on the link; 0 if unknown.
     [[nodiscard]] milliseconds last_message_age(std::uint64_t link) const;
     /// Returns the unparsed and unsent bytes of all links.
@@ -195,6 +203,15 @@
     const std::string& alive_frame(milliseconds interval);
     void on_heartbeat(std::uint64_t number, peer_state& peer,
                       milliseconds interval);
+    /// Informs the peer over the link of the links that are open to it, unless
+    /// it is of a version that does not know the message.
+    void send_link_state(std::uint64_t number);
+    /// The same over all links to the instance of this name.
+    void send_link_states(const std::string& name);
+    void on_link_state(std::uint64_t number, const peer_link_state& state);
+    /// Closes the earlier links to an instance of a version that sends no link
+    /// states, which may have closed them.
+    void close_superseded_links(const instance_view& instance);
     [[nodiscard]] bool linked(const std::string& name) const;
 
     loop_scope loop;
@@ -203,6 +220,7 @@
     boost::asio::ip::tcp::acceptor acceptor;
     std::map<std::uint64_t, std::shared_ptr<link>> links;
     std::map<std::uint64_t, peer_state> peers; ///< after the first heartbeat
+    closed_link_finder closed_links;
     /// Names of `peers`. Two links to the same instance may exist for a while.
     std::multiset<std::string> linked_names;
     std::map<std::string, known_member> members;
--- a/src/libruntime/node/peer_message.cpp
+++ b/src/libruntime/node/peer_message.cpp
@@ -121,6 +121,7 @@
     out.setIntervalMs(static_cast<std::uint32_t>(in.interval.count()));
     out.setAcceptsAlive(in.accepts_alive);
     out.setAcceptsRecall(in.accepts_recall);
+    out.setAcceptsLinkState(in.accepts_link_state);
     put_evacuations(out, in.instance);
     out.setServerNumber(in.instance.server_number);
     out.setSentAtUs(in.sent_at.count());
@@ -150,6 +151,7 @@
     out.interval = milliseconds(in.getIntervalMs());
     out.accepts_alive = in.getAcceptsAlive();
     out.accepts_recall = in.getAcceptsRecall();
+    out.accepts_link_state = in.getAcceptsLinkState();
     for (const auto record : in.getEvacuations())
     {
         out.instance.evacuations.push_back(
@@ -250,6 +252,18 @@
     return out;
 }
 
+peer_link_state get_link_state(LinkState::Reader in)
+{
+    peer_link_state out;
+    out.link = in.getLink();
+    for (const std::uint64_t link : in.getOpenLinks())
+    {
+        out.open_links.push_back(link);
+    }
+    out.newest_link = in.getNewestLink();
+    return out;
+}
+
 struct message_writer
 {
     Message::Builder out;
@@ -300,6 +314,18 @@
         recall.setId(in.id);
         recall.setTicket(in.ticket);
     }
+    void operator()(const link_state_message& in)
+    {
+        auto state = this->out.initLinkState();
+        state.setLink(in.state.link);
+        auto open_links = state.initOpenLinks(
+            static_cast<unsigned>(in.state.open_links.size()));
+        for (unsigned i = 0; i < open_links.size(); ++i)
+        {
+            open_links.set(i, in.state.open_links[i]);
+        }
+        state.setNewestLink(in.state.newest_link);
+    }
     void operator()(const release_message& in)
     {
         auto servers = this->out.initRelease().initServers(
@@ -336,6 +362,8 @@
     case Message::RECALL:
         return recall_message{in.getRecall().getId(),
                               in.getRecall().getTicket()};
+    case Message::LINK_STATE:
+        return link_state_message{get_link_state(in.getLinkState())};
     case Message::RELEASE:
     {
         release_message out;
--- a/src/libruntime/node/peer_message.hpp
+++ b/src/libruntime/node/peer_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/closed_link_finder.hpp"
 #include "dispatch/job_request.hpp"
 #include "dispatch/pool_dispatcher.hpp"
 #include "dispatch/pool_election.hpp"
@@ -19,9 +20,10 @@
 {
     instance_view instance;
     dispatch_load load;
-    milliseconds interval{0};   ///< until the next heartbeat over this link
-    bool accepts_alive = true;  ///< the sender decodes `alive_message`
-    bool accepts_recall = true; ///< the sender decodes `recall_message`
+    milliseconds interval{0};       ///< until the next heartbeat over this link
+    bool accepts_alive = true;      ///< the sender decodes `alive_message`
+    bool accepts_recall = true;     ///< the sender decodes `recall_message`
+    bool accepts_link_state = true; ///< the sender decodes `link_state_message`
     /// Time on the sender's clock, at the latest when it sent this. 0: the
     /// sender neither sends nor decodes `confirm_message`.
     instant sent_at{0};
@@ -106,10 +108,18 @@
     bool operator==(const recall_message&) const = default;
 };
 
+/// Which links to the receiver the sender has open. The receiver closes the
+/// others, so that nothing that the sender has given up is read any more.
+struct link_state_message
+{
+    peer_link_state state;
+    bool operator==(const link_state_message&) const = default;
+};
+
 using dispatch_message =
     std::variant<heartbeat_message, submit_message, result_message,
                  cancel_message, release_message, alive_message, seen_message,
-                 confirm_message, recall_message>;
+                 confirm_message, recall_message, link_state_message>;
 
 /// Returns the encoded message, preceded by its length in four bytes, least
 /// significant first.
--- a/tests/soak/fault_relay.cpp
+++ b/tests/soak/fault_relay.cpp
@@ -1,5 +1,6 @@
 #include "fault_relay.hpp"
 
+#include <algorithm>
 #include <array>
 
 #include <boost/asio/write.hpp>
@@ -60,6 +61,7 @@
     }
 
     bool always_blackholed = false;
+    milliseconds own_delay{0};
     bool has_dropped_bytes = false;
 
 private:
@@ -100,12 +102,14 @@
             this->pump(forward);
             return;
         }
-        if (this->owner->at_once && this->owner->forwarding_delay.count() == 0)
+        const milliseconds delay =
+            std::max(this->own_delay, this->owner->forwarding_delay);
+        if (this->owner->at_once && delay.count() == 0)
         {
             this->write_bytes(forward, size);
             return;
         }
-        this->owner->loop.after(this->owner->forwarding_delay,
+        this->owner->loop.after(delay,
                                 [self = this->shared_from_this(), forward, size]
                                 { self->write_bytes(forward, size); });
     }
@@ -188,6 +192,14 @@
     }
 }
 
+void fault_relay::delay_open_connections(milliseconds duration)
+{
+    for (const auto& each : this->connections)
+    {
+        each->own_delay = duration;
+    }
+}
+
 void fault_relay::reset_connections()
 {
     const auto all = this->connections;
--- a/tests/soak/fault_relay.hpp
+++ b/tests/soak/fault_relay.hpp
@@ -35,6 +35,9 @@
     /// Black-holes both directions of all open connections; heal() does not
     /// undo this. New connections work.
     void blackhole_open_connections();
+    /// Delays each chunk of data on the open connections, in both directions,
+    /// until they end. New connections are not delayed.
+    void delay_open_connections(milliseconds duration);
     void reset_connections();
     /// Ends the delay and black-holing. Connections that lost bytes are reset,
     /// except those of blackhole_open_connections().
--- a/tests/unit/dispatch/node_fixture.cpp
+++ b/tests/unit/dispatch/node_fixture.cpp
@@ -19,9 +19,10 @@
 constexpr milliseconds entry_refresh_interval{1000};
 
 node_settings make_settings(const std::string& name, const std::string& domain,
-                            std::uint16_t peers, std::uint16_t store)
+                            std::uint16_t peers, std::uint16_t store,
+                            const fault_relay* relay)
 {
-    const nlohmann::json object{
+    nlohmann::json object{
         {"instance", name},
         {"domain", domain},
         {"callers", "127.0.0.1:0"},
@@ -32,6 +33,11 @@
         {"holder_policy", "balanced"},
         {"server_trust", true},
         {"overload_order", "caller_cost"}};
+    if (relay != nullptr)
+    {
+        object["announced_peers"] =
+            "127.0.0.1:" + std::to_string(relay->port());
+    }
     config_reason why;
     const auto settings = node_settings::load(object.dump(), why);
     BOOST_REQUIRE_MESSAGE(settings, why.message());
@@ -73,6 +79,16 @@
     this->start_node(name, domain, this->store.port());
 }
 
+fault_relay& node_fixture::relay_links_to(const std::string& name)
+{
+    this->peer_ports[name] = free_port(this->loop, unique_loopback_address());
+    return *this->relays
+                .emplace(name, std::make_unique<fault_relay>(
+                                   this->loop, unique_loopback_address(),
+                                   this->peer_ports[name]))
+                .first->second;
+}
+
 void node_fixture::start_node_on_second_store(const std::string& name,
                                               const std::string& domain)
 {
@@ -89,9 +105,12 @@
             free_port(this->loop, unique_loopback_address());
     }
     this->nodes.erase(name);
+    const auto relay = this->relays.find(name);
     this->nodes[name] = std::make_unique<node_under_test>(
         this->loop,
-        make_settings(name, domain, this->peer_ports[name], store_port),
+        make_settings(name, domain, this->peer_ports[name], store_port,
+                      relay == this->relays.end() ? nullptr
+                                                  : relay->second.get()),
         this->next_boot++);
 }
 
--- a/tests/unit/dispatch/node_fixture.hpp
+++ b/tests/unit/dispatch/node_fixture.hpp
@@ -2,6 +2,7 @@
 
 #include "node/dispatch_node.hpp"
 #include "server_adapter.hpp"
+#include "soak/fault_relay.hpp"
 #include "store_adapter.hpp"
 #include "users/log_store_standin.hpp"
 #include "users/task_server_standin.hpp"
@@ -38,6 +39,9 @@
     /// Starts an instance. One of the same name is stopped first, so that this
     /// restarts it.
     void start_node(const std::string& name, const std::string& domain = "d1");
+    /// Relays the links that other instances open to this one. Call it before
+    /// the instance is started.
+    fault_relay& relay_links_to(const std::string& name);
     /// Starts an instance that uses the second address of the store.
     void start_node_on_second_store(const std::string& name,
                                     const std::string& domain = "d1");
@@ -84,6 +88,7 @@
     std::map<std::string, std::string> domains;
     /// Declared before the instances, which answer open jobs when they stop.
     std::map<std::string, job_result> results;
+    std::map<std::string, std::unique_ptr<fault_relay>> relays;
     std::map<std::string, std::unique_ptr<node_under_test>> nodes;
 
 private:
--- a/tests/unit/dispatch/peer_message_test.cpp
+++ b/tests/unit/dispatch/peer_message_test.cpp
@@ -72,7 +72,8 @@
         alive_message{{1, 2, 3, 4}, milliseconds(100), 5000},
         seen_message{12},
         confirm_message{seconds(5000)},
-        recall_message{"id", 7}};
+        recall_message{"id", 7},
+        link_state_message{{3, {2, 3}, 1UL << 40U}}};
     for (const dispatch_message& message : messages)
     {
         BOOST_CHECK(copy_of(message) == message);
--- a/tests/unit/dispatch/silent_peer.cpp
+++ b/tests/unit/dispatch/silent_peer.cpp
@@ -23,6 +23,7 @@
     heartbeat.instance = {"silent", 1, "d9", 1000, false, {}};
     heartbeat.interval = longest_interval;
     heartbeat.sent_at = confirms ? event_loop::now() : instant(0);
+    heartbeat.accepts_link_state = confirms;
     this->send(heartbeat);
 }
 
--- a/tests/unit/dispatch/silent_peer.hpp
+++ b/tests/unit/dispatch/silent_peer.hpp
@@ -17,7 +17,8 @@
 public:
     /// Links to the instance under test and sends one heartbeat, which
     /// announces the longest interval.
-    /// \param confirms whether it is of a version that sends confirmations.
+    /// \param confirms whether it is of a version that sends confirmations and
+    /// link states.
     silent_peer(event_loop& loop, const member_record& tested,
                 bool confirms = true);
 
