Keep the whole text in messages between instances

Cause: the texts of dispatch.capnp were converted from and to std::string through kj::StringPtr, which passes c_str() in both directions and so ends at the first U+0000. Labels, racks, services, reasons and ids were cut as well.

Change: all texts go through to_text and from_text, which keep the size and now serve the messages of both programs. A holder of an earlier version still cuts what it reads, so a job with U+0000 in a text is not sent to one. It is refused at once, with a reason, if there is no other.

--- a/src/libruntime/node/dispatch.capnp
+++ b/src/libruntime/node/dispatch.capnp
@@ -32,6 +32,7 @@
   evacuationsKnown @14 :Bool;  # false in messages of earlier versions
   acceptsRecall @15 :Bool;
   acceptsLinkState @16 :Bool;
+  acceptsNul @17 :Bool;
 }
 
 # The newest operator record on the evacuation of a failure domain.
--- a/src/libruntime/node/dispatch.capnp.h
+++ b/src/libruntime/node/dispatch.capnp.h
@@ -462,6 +462,8 @@
 
   inline bool getAcceptsLinkState() const;
 
+  inline bool getAcceptsNul() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -566,6 +568,9 @@
   inline bool getAcceptsLinkState();
   inline void setAcceptsLinkState(bool value);
 
+  inline bool getAcceptsNul();
+  inline void setAcceptsNul(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2551,6 +2556,20 @@
       ::capnp::bounded<100>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Hello::Reader::getAcceptsNul() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<101>() * ::capnp::ELEMENTS);
+}
+
+inline bool Hello::Builder::getAcceptsNul() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<101>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setAcceptsNul(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<101>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Evacuation::Reader::hasDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libruntime/node/job_router.cpp
+++ b/src/libruntime/node/job_router.cpp
@@ -34,6 +34,18 @@
 /// Part of the grace period that is reserved for the last answers and the exit.
 constexpr milliseconds drain_margin{600};
 
+bool contains_nul(const job_request& request, const job_terms& terms)
+{
+    const auto has_nul = [](const std::string& text)
+    { return text.find('\0') != std::string::npos; };
+    return has_nul(request.payload) || has_nul(terms.service) ||
+           std::any_of(request.steps.begin(), request.steps.end(),
+                       [&has_nul](const job_step& step) {
+                           return has_nul(step.label) ||
+                                  has_nul(step.data_rack);
+                       });
+}
+
 } // namespace
 
 job_router::job_router(const node_settings& values, std::uint64_t seed,
@@ -171,6 +183,7 @@
     job.request = std::move(request);
     job.terms = terms;
     job.measured = measure(job.request, terms);
+    job.contains_nul = contains_nul(job.request, terms);
     job.done = std::move(done);
     job.accepted = event_loop::now();
     open_job& added =
@@ -251,11 +264,21 @@
         return;
     }
     const holder_request request = this->request_of(job);
-    const holder_decision decision =
-        this->choice.choose(this->responsive_holders(), request,
-                            job.tried_holders, job.refusals, event_loop::now());
+    const std::vector<holder_view> holders = this->suitable_holders(job);
+    const holder_decision decision = this->choice.choose(
+        holders, request, job.tried_holders, job.refusals, event_loop::now());
     if (!decision.link)
     {
+        if (decision.reason == no_holder_reason::no_holder &&
+            job.tried_holders.empty() &&
+            holders.size() < this->responsive_holders().size())
+        {
+            this->unrouted.erase(ticket);
+            this->finish_job(ticket, {job_outcome::refused,
+                                      "no holder takes U+0000 in texts yet",
+                                      no_holder_retry_after});
+            return;
+        }
         this->defer_or_refuse(ticket, job, decision.reason);
         return;
     }
@@ -304,6 +327,20 @@
     return holders;
 }
 
+std::vector<holder_view> job_router::suitable_holders(const open_job& job) const
+{
+    std::vector<holder_view> holders = this->responsive_holders();
+    if (job.contains_nul)
+    {
+        std::erase_if(holders,
+                      [this](const holder_view& holder) {
+                          return holder.link != 0 &&
+                                 !this->peers.at(holder.link).accepts_nul;
+                      });
+    }
+    return holders;
+}
+
 holder_request job_router::measure(const job_request& request,
                                    const job_terms& terms)
 {
--- a/src/libruntime/node/job_router.hpp
+++ b/src/libruntime/node/job_router.hpp
@@ -103,6 +103,8 @@
         std::optional<job_result> last_refusal;
         /// A holder disconnected with it, or handed it back.
         bool may_have_run = false;
+        /// A text of it has a U+0000, where holders of earlier versions cut it.
+        bool contains_nul = false;
         /// The holder may still read the submission that was sent over a closed
         /// link, and start the job after it has refused the next one.
         bool may_be_read_late = false;
@@ -133,6 +135,9 @@
     void send_to_holder(std::uint64_t ticket, const open_job& job);
     /// Returns the responsive holders with their loads.
     [[nodiscard]] std::vector<holder_view> responsive_holders() const;
+    /// Returns those of them that can take the job as it is.
+    [[nodiscard]] std::vector<holder_view>
+    suitable_holders(const open_job& job) const;
     [[nodiscard]] static holder_request measure(const job_request& request,
                                                 const job_terms& terms);
     [[nodiscard]] static holder_request request_of(const open_job& job);
--- a/src/libruntime/node/peer_message.cpp
+++ b/src/libruntime/node/peer_message.cpp
@@ -1,5 +1,6 @@
 #include "node/peer_message.hpp"
 
+#include "capnp_text.hpp"
 #include "node/dispatch.capnp.h"
 
 #include <algorithm>
@@ -87,7 +88,7 @@
         out.initEvacuations(static_cast<unsigned>(in.evacuations.size()));
     for (unsigned i = 0; i < evacuations.size(); ++i)
     {
-        evacuations[i].setDomain(in.evacuations[i].domain);
+        evacuations[i].setDomain(to_text(in.evacuations[i].domain));
         evacuations[i].setOffset(in.evacuations[i].offset);
         evacuations[i].setActive(in.evacuations[i].active);
     }
@@ -96,16 +97,16 @@
 
 void put_heartbeat(Hello::Builder out, const heartbeat_message& in)
 {
-    out.setName(in.instance.name);
+    out.setName(to_text(in.instance.name));
     out.setBoot(in.instance.boot);
-    out.setDomain(in.instance.domain);
+    out.setDomain(to_text(in.instance.domain));
     out.setCpu(in.instance.cpu);
     out.setLinkKbps(in.instance.link_kbps);
     out.setDraining(in.instance.draining);
     auto pools = out.initPools(static_cast<unsigned>(in.instance.holds.size()));
     for (unsigned i = 0; i < pools.size(); ++i)
     {
-        pools[i].setDomain(in.instance.holds[i].pool.domain);
+        pools[i].setDomain(to_text(in.instance.holds[i].pool.domain));
         pools[i].setShard(in.instance.holds[i].pool.shard);
         pools[i].setToken(in.instance.holds[i].token);
         pools[i].setClean(in.instance.holds[i].clean);
@@ -115,13 +116,14 @@
         static_cast<unsigned>(in.instance.unlisted_servers.size()));
     for (unsigned i = 0; i < unlisted.size(); ++i)
     {
-        unlisted.set(i, in.instance.unlisted_servers[i]);
+        unlisted.set(i, to_text(in.instance.unlisted_servers[i]));
     }
     put_load(out.initLoad(), in.load);
     out.setIntervalMs(static_cast<std::uint32_t>(in.interval.count()));
     out.setAcceptsAlive(in.accepts_alive);
     out.setAcceptsRecall(in.accepts_recall);
     out.setAcceptsLinkState(in.accepts_link_state);
+    out.setAcceptsNul(in.accepts_nul);
     put_evacuations(out, in.instance);
     out.setServerNumber(in.instance.server_number);
     out.setSentAtUs(in.sent_at.count());
@@ -130,32 +132,35 @@
 heartbeat_message get_heartbeat(Hello::Reader in)
 {
     heartbeat_message out;
-    out.instance.name = in.getName();
+    out.instance.name = from_text(in.getName());
     out.instance.boot = in.getBoot();
-    out.instance.domain = in.getDomain();
+    out.instance.domain = from_text(in.getDomain());
     out.instance.cpu = in.getCpu();
     out.instance.link_kbps = in.getLinkKbps();
     out.instance.draining = in.getDraining();
     for (const auto hold : in.getPools())
     {
-        out.instance.holds.push_back({{hold.getDomain(), hold.getShard()},
-                                      hold.getToken(),
-                                      hold.getClean(),
-                                      get_servers(hold)});
+        out.instance.holds.push_back(
+            {{from_text(hold.getDomain()), hold.getShard()},
+             hold.getToken(),
+             hold.getClean(),
+             get_servers(hold)});
     }
     for (const auto server : in.getUnlistedServers())
     {
-        out.instance.unlisted_servers.emplace_back(server);
+        out.instance.unlisted_servers.push_back(from_text(server));
     }
     out.load = get_load(in.getLoad());
     out.interval = milliseconds(in.getIntervalMs());
     out.accepts_alive = in.getAcceptsAlive();
     out.accepts_recall = in.getAcceptsRecall();
     out.accepts_link_state = in.getAcceptsLinkState();
+    out.accepts_nul = in.getAcceptsNul();
     for (const auto record : in.getEvacuations())
     {
-        out.instance.evacuations.push_back(
-            {record.getDomain(), record.getOffset(), record.getActive()});
+        out.instance.evacuations.push_back({from_text(record.getDomain()),
+                                            record.getOffset(),
+                                            record.getActive()});
     }
     out.instance.evacuations_known = in.getEvacuationsKnown();
     out.instance.server_number = in.getServerNumber();
@@ -175,8 +180,8 @@
     {
         after.set(i, in.after[i]);
     }
-    out.setLabel(in.label);
-    out.setDataRack(in.data_rack);
+    out.setLabel(to_text(in.label));
+    out.setDataRack(to_text(in.data_rack));
     out.setMostPerServer(in.max_per_server);
 }
 
@@ -190,8 +195,8 @@
     {
         out.after.push_back(step);
     }
-    out.label = in.getLabel();
-    out.data_rack = in.getDataRack();
+    out.label = from_text(in.getLabel());
+    out.data_rack = from_text(in.getDataRack());
     out.max_per_server = in.getMostPerServer();
     return out;
 }
@@ -199,14 +204,14 @@
 void put_submit(Submit::Builder out, const submit_message& in)
 {
     out.setTicket(in.ticket);
-    out.setId(in.request.id);
-    out.setPayload(in.request.payload);
+    out.setId(to_text(in.request.id));
+    out.setPayload(to_text(in.request.payload));
     auto steps = out.initSteps(static_cast<unsigned>(in.request.steps.size()));
     for (unsigned i = 0; i < steps.size(); ++i)
     {
         put_step(steps[i], in.request.steps[i]);
     }
-    out.setService(in.terms.service);
+    out.setService(to_text(in.terms.service));
     out.setPriority(in.terms.priority);
     out.setMaxAttempts(in.terms.max_attempts);
     out.setStretch(in.terms.stretch);
@@ -220,13 +225,13 @@
 {
     submit_message out;
     out.ticket = in.getTicket();
-    out.request.id = in.getId();
-    out.request.payload = in.getPayload();
+    out.request.id = from_text(in.getId());
+    out.request.payload = from_text(in.getPayload());
     for (const auto step : in.getSteps())
     {
         out.request.steps.push_back(get_step(step));
     }
-    out.terms.service = in.getService();
+    out.terms.service = from_text(in.getService());
     out.terms.priority = in.getPriority();
     out.terms.max_attempts = in.getMaxAttempts();
     out.terms.stretch = in.getStretch();
@@ -246,7 +251,7 @@
     out.result.outcome = in.getOutcome() <= last_outcome
                              ? static_cast<job_outcome>(in.getOutcome())
                              : job_outcome::incomplete;
-    out.result.reason = in.getReason();
+    out.result.reason = from_text(in.getReason());
     out.result.retry_after = milliseconds(in.getRetryAfterMs());
     out.load = get_load(in.getLoad());
     return out;
@@ -281,7 +286,7 @@
         auto result = this->out.initResult();
         result.setTicket(in.ticket);
         result.setOutcome(static_cast<std::uint16_t>(in.result.outcome));
-        result.setReason(in.result.reason);
+        result.setReason(to_text(in.result.reason));
         result.setRetryAfterMs(
             static_cast<std::uint32_t>(in.result.retry_after.count()));
         put_load(result.initLoad(), in.load);
@@ -289,8 +294,8 @@
     void operator()(const cancel_message& in)
     {
         auto cancel = this->out.initCancel();
-        cancel.setId(in.id);
-        cancel.setReason(in.reason);
+        cancel.setId(to_text(in.id));
+        cancel.setReason(to_text(in.reason));
         cancel.setTicket(in.ticket);
     }
     void operator()(const alive_message& in)
@@ -311,7 +316,7 @@
     void operator()(const recall_message& in)
     {
         auto recall = this->out.initRecall();
-        recall.setId(in.id);
+        recall.setId(to_text(in.id));
         recall.setTicket(in.ticket);
     }
     void operator()(const link_state_message& in)
@@ -332,7 +337,7 @@
             static_cast<unsigned>(in.servers.size()));
         for (unsigned i = 0; i < servers.size(); ++i)
         {
-            servers.set(i, in.servers[i].c_str());
+            servers.set(i, to_text(in.servers[i]));
         }
     }
 };
@@ -348,8 +353,8 @@
     case Message::RESULT:
         return get_result(in.getResult());
     case Message::CANCEL:
-        return cancel_message{in.getCancel().getId(),
-                              in.getCancel().getReason(),
+        return cancel_message{from_text(in.getCancel().getId()),
+                              from_text(in.getCancel().getReason()),
                               in.getCancel().getTicket()};
     case Message::ALIVE:
         return alive_message{get_load(in.getAlive().getLoad()),
@@ -360,7 +365,7 @@
     case Message::CONFIRM:
         return confirm_message{instant(in.getConfirm().getAliveAtUs())};
     case Message::RECALL:
-        return recall_message{in.getRecall().getId(),
+        return recall_message{from_text(in.getRecall().getId()),
                               in.getRecall().getTicket()};
     case Message::LINK_STATE:
         return link_state_message{get_link_state(in.getLinkState())};
@@ -369,7 +374,7 @@
         release_message out;
         for (const auto server : in.getRelease().getServers())
         {
-            out.servers.emplace_back(server.cStr());
+            out.servers.push_back(from_text(server));
         }
         return out;
     }
--- a/src/libruntime/node/peer_message.hpp
+++ b/src/libruntime/node/peer_message.hpp
@@ -24,6 +24,7 @@
     bool accepts_alive = true;      ///< the sender decodes `alive_message`
     bool accepts_recall = true;     ///< the sender decodes `recall_message`
     bool accepts_link_state = true; ///< the sender decodes `link_state_message`
+    bool accepts_nul = true;        ///< the sender reads texts beyond a U+0000
     /// Time on the sender's clock, at the latest when it sent this. 0: the
     /// sender neither sends nor decodes `confirm_message`.
     instant sent_at{0};
--- a/src/libruntime/peer_convert.cpp
+++ b/src/libruntime/peer_convert.cpp
@@ -17,16 +17,6 @@
 
 } // namespace
 
-capnp::Text::Reader to_text(const std::string& from)
-{
-    return {from.c_str(), from.size()};
-}
-
-std::string from_text(capnp::Text::Reader from)
-{
-    return {from.begin(), from.size()};
-}
-
 capnp::Data::Reader to_data(const std::string& from)
 {
     return {reinterpret_cast<const kj::byte*>(from.data()), from.size()};
--- a/src/libruntime/peer_convert.hpp
+++ b/src/libruntime/peer_convert.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "capnp_text.hpp"
 #include "engine/peer_messages.hpp"
 #include "peer.capnp.h"
 
@@ -39,7 +40,4 @@
 void write_failure(wire::Failure::Builder to, const peer_failure& from);
 [[nodiscard]] peer_failure read_failure(wire::Failure::Reader from);
 
-[[nodiscard]] capnp::Text::Reader to_text(const std::string& from);
-[[nodiscard]] std::string from_text(capnp::Text::Reader from);
-
 } // namespace jujubedrum
--- a/tests/unit/dispatch/peer_message_test.cpp
+++ b/tests/unit/dispatch/peer_message_test.cpp
@@ -1,5 +1,7 @@
 #include "node/peer_message.hpp"
 
+#include <random>
+
 #include <boost/test/unit_test.hpp>
 
 namespace jujubedrum
@@ -80,6 +82,54 @@
     }
 }
 
+// Guards against a text that is cut at U+0000, or changed otherwise, between
+// two instances.
+BOOST_AUTO_TEST_CASE(texts_of_any_bytes_encoded_and_decoded_are_equal)
+{
+    constexpr int rounds = 300;
+    constexpr unsigned max_size = 48;
+    std::mt19937 random(1);
+    const auto text = [&random]
+    {
+        // A third of the bytes are 0.
+        std::string out(random() % max_size, '\0');
+        for (char& each : out)
+        {
+            each = random() % 3 == 0 ? '\0' : static_cast<char>(random());
+        }
+        return out;
+    };
+    for (int round = 0; round < rounds; ++round)
+    {
+        submit_message submitted;
+        submitted.request.id = text();
+        submitted.request.payload = text();
+        job_step step;
+        step.label = text();
+        step.data_rack = text();
+        submitted.request.steps = {step};
+        submitted.terms.service = text();
+        heartbeat_message heartbeat;
+        heartbeat.instance = {
+            text(),          1, text(), 250, false, {{{text(), 3}, 9}},
+            {text(), text()}};
+        heartbeat.instance.evacuations = {{text(), 1, true}};
+        const std::vector<dispatch_message> messages{
+            submitted,
+            heartbeat,
+            result_message{
+                1, {job_outcome::refused, text(), milliseconds(0)}, {}},
+            cancel_message{text(), text(), 7},
+            release_message{{text(), text()}},
+            recall_message{text(), 7}};
+        for (const dispatch_message& message : messages)
+        {
+            BOOST_TEST(bool(copy_of(message) == message),
+                       "message " << message.index() << ", round " << round);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(decode_junk_gives_a_reason)
 {
     std::string why;
--- a/tests/unit/dispatch/peer_standin.cpp
+++ b/tests/unit/dispatch/peer_standin.cpp
@@ -19,7 +19,7 @@
                            const member_record& tested,
                            std::vector<pool_hold> holds,
                            const std::string& domain, std::uint64_t boot,
-                           bool accepts_link_state)
+                           bool current_version)
     : mesh(loop, {name, unique_loopback_address(), 0, boot, domain, 1000},
            *this)
 {
@@ -27,7 +27,8 @@
     this->own = {{name, boot, domain, 1000, false, std::move(holds)},
                  {cpu, cpu, 0, mean_run_ms},
                  milliseconds(0)};
-    this->own.accepts_link_state = accepts_link_state;
+    this->own.accepts_link_state = current_version;
+    this->own.accepts_nul = current_version;
     this->mesh.set_heartbeat(this->own);
     BOOST_REQUIRE(this->mesh.listen(
         unique_loopback_address(), free_port(loop, unique_loopback_address())));
--- a/tests/unit/dispatch/peer_standin.hpp
+++ b/tests/unit/dispatch/peer_standin.hpp
@@ -21,11 +21,11 @@
     /// announces free capacity.
     /// \param domain by default one without servers, so that its links are not
     /// prioritized.
-    /// \param accepts_link_state false for a peer of an earlier version.
+    /// \param current_version false for a peer of an earlier version.
     peer_standin(event_loop& loop, const std::string& name,
                  const member_record& tested, std::vector<pool_hold> holds,
                  const std::string& domain = "d9", std::uint64_t boot = 1,
-                 bool accepts_link_state = true);
+                 bool current_version = true);
 
     /// Returns whether a heartbeat of the instance under test has arrived.
     [[nodiscard]] bool linked() const { return this->link.has_value(); }
