Start nothing on a server while it lists unknown runs

Cause: a session waits at its takeover until the server lists no run that the dispatcher does not have. Runs of this kind that appeared later were stopped, but tasks went on to start beside them, and the dispatcher placed tasks by the reply before the session had looked for them.

Change: a server whose last reply lists such a run gets no task, and the session looks before the dispatcher does. A reply that was overtaken, by the server's clock, does not count.

--- a/src/libruntime/node/server_session.cpp
+++ b/src/libruntime/node/server_session.cpp
@@ -287,23 +287,32 @@
     {
         this->acknowledged = std::max(this->acknowledged, row.number);
     }
-    this->dispatcher.on_poll_reply(this->id_value, reply, polled_at, now);
-    const bool unknown = this->stop_unknown_runs(reply);
-    if (!unknown)
+    // Replies on different connections may overtake each other.
+    if (reply.server_clock >= this->last_listed)
     {
-        this->attached = true;
-        this->taken_over = true;
+        this->last_listed = reply.server_clock;
+        this->stop_unknown_runs(reply);
     }
-    if (this->attached)
+    const bool unknown = !this->unknown_runs.empty();
+    if (unknown)
+    {
+        // Before the dispatcher uses what is free without this run.
+        this->set_reachable(false, "unknown run");
+    }
+    this->dispatcher.on_poll_reply(this->id_value, reply, polled_at, now);
+    if (unknown)
     {
-        // A start would prolong the lease of the run that has to end.
-        const bool unresolved = this->has_unresolved_stop(now);
-        this->set_reachable(!unresolved,
-                            unresolved ? "stop not confirmed" : "listed");
+        return;
     }
+    this->attached = true;
+    this->taken_over = true;
+    // A start would prolong the lease of the run that has to end.
+    const bool unresolved = this->has_unresolved_stop(now);
+    this->set_reachable(!unresolved,
+                        unresolved ? "stop not confirmed" : "listed");
 }
 
-bool server_session::stop_unknown_runs(const poll_reply& reply)
+void server_session::stop_unknown_runs(const poll_reply& reply)
 {
     const std::map<run_id, instant> earlier = std::move(this->unknown_runs);
     this->unknown_runs.clear();
@@ -329,7 +338,6 @@
                 }
             });
     }
-    return !this->unknown_runs.empty();
 }
 
 void server_session::set_reachable(bool value, const char* reason)
@@ -355,6 +363,7 @@
     LOG(INFO) << "server: restarted; server=" << this->id_value;
     this->acknowledged = 0;
     this->clock_offset.reset();
+    this->last_listed = milliseconds(0);
 }
 
 void server_session::on_entry(std::uint64_t entry_incarnation)
--- a/src/libruntime/node/server_session.hpp
+++ b/src/libruntime/node/server_session.hpp
@@ -120,9 +120,9 @@
     void on_unanswered_poll();
     void check_lease_end(instant now);
     void accept_poll_reply(const poll_reply& reply, instant polled_at);
-    /// Stops runs that the dispatcher does not have. Returns whether there are
-    /// any.
-    bool stop_unknown_runs(const poll_reply& reply);
+    /// Stops runs that the dispatcher does not have. Nothing starts until a
+    /// later reply lists none, since they use the server's capacity.
+    void stop_unknown_runs(const poll_reply& reply);
     /// Returns the time on the server's clock.
     [[nodiscard]] milliseconds server_now() const;
     void extend_lease_end(instant until);
@@ -145,6 +145,7 @@
     std::set<run_id> open_starts;     ///< not answered yet
     std::uint64_t acknowledged = 0;
     std::uint64_t incarnation = 0;
+    milliseconds last_listed{0}; ///< latest poll reply, on the server's clock
     /// When a poll reply first showed the present boot. Replies of other boots
     /// to polls that were sent before may be of an earlier one.
     instant restart_seen{0};
--- a/standins/users/task_server_standin.cpp
+++ b/standins/users/task_server_standin.cpp
@@ -51,6 +51,13 @@
     }
 }
 
+void run_recorder::on_overload(const std::string& task,
+                               const std::string& server)
+{
+    this->found_violations.push_back("above the capacity of " + server + ": " +
+                                     task);
+}
+
 void run_recorder::on_end(const std::string& task, const std::string& server)
 {
     this->write_trace("end", task, server);
@@ -291,10 +298,15 @@
     {
         return refuse("old");
     }
-    if (this->full || this->used_cpu() + task_cpu > this->capacity)
+    const bool overload = this->used_cpu() + task_cpu > this->capacity;
+    if (this->full || (overload && this->checks_capacity))
     {
         return refuse("room");
     }
+    if (overload)
+    {
+        this->recorder.on_overload(task, this->name);
+    }
     run_state run;
     run.run = number;
     run.cpu = task_cpu;
--- a/standins/users/task_server_standin.hpp
+++ b/standins/users/task_server_standin.hpp
@@ -22,6 +22,8 @@
     void on_start(const std::string& task, const std::string& payload,
                   const std::string& server);
     void on_end(const std::string& task, const std::string& server);
+    /// A start brought a server that does not check its capacity above it.
+    void on_overload(const std::string& task, const std::string& server);
     [[nodiscard]] const std::vector<std::string>& violations() const
     {
         return this->found_violations;
@@ -83,6 +85,9 @@
     /// While set, the lease times of delayed requests count from their
     /// execution, not from their arrival.
     void set_late_times_shifted(bool value) { this->times_shifted = value; }
+    /// While not set, runs are started beyond the capacity, which is a
+    /// violation.
+    void set_checks_capacity(bool value) { this->checks_capacity = value; }
     /// While set, new runs are refused for want of capacity.
     void set_full(bool value) { this->full = value; }
     void set_draining(bool value) { this->draining = value; }
@@ -148,6 +153,7 @@
     http_server server;
     std::string name;
     std::uint32_t capacity;
+    bool checks_capacity = true;
     run_recorder& recorder;
     std::uint64_t incarnation; ///< increases with each restart
     instant clock_origin{0};
--- a/tests/unit/dispatch/server_session_test.cpp
+++ b/tests/unit/dispatch/server_session_test.cpp
@@ -82,7 +82,7 @@
         poll_reply reply;
         reply.outcome = poll_outcome::answered;
         reply.incarnation = this->running_incarnation;
-        reply.server_clock = milliseconds(5000);
+        reply.server_clock = this->server_clock;
         reply.running = std::move(running);
         this->requests.polls.at(number).second(reply);
     }
@@ -133,6 +133,7 @@
     lease_options options;
     server_info info;
     std::uint64_t running_incarnation = 0; ///< in poll replies
+    milliseconds server_clock{5000};       ///< in poll replies
     recorded_requests requests;
     pool_dispatcher dispatcher{dispatch_options{}, *this, *this};
     std::shared_ptr<server_session> session;
@@ -245,6 +246,50 @@
     BOOST_TEST(this->session->is_reachable());
 }
 
+// Guards against a server that checks no capacity and gets more than it has: a
+// run that the dispatcher does not have takes a part of it. A restarted server
+// has carried out an old start, or one of an earlier holder.
+BOOST_AUTO_TEST_CASE(unknown_run_nothing_starts_until_it_is_gone)
+{
+    const active_run unknown{{{"other", 0, 0}, 1}, 0};
+    this->begin(tokens_per_hold);
+    this->submit(3);
+    BOOST_REQUIRE_EQUAL(this->requests.starts.size(), 2);
+    this->requests.starts[0].second(start_outcome::accepted);
+    this->requests.starts[1].second(start_outcome::accepted);
+    const active_run second{this->requests.starts[1].first.run, 0};
+    poll_reply reply;
+    reply.outcome = poll_outcome::answered;
+    reply.server_clock = this->server_clock;
+    reply.running = {unknown, second};
+    reply.ended = {{1, this->requests.starts[0].first.run, run_outcome::done}};
+    this->requests.polls.at(1).second(reply);
+    BOOST_TEST(this->requests.starts.size() == 2);
+    this->dispatcher.pump(event_loop::now());
+    BOOST_TEST(this->requests.starts.size() == 2);
+    this->answer_poll(this->requests.polls.size() - 1, {second});
+    BOOST_TEST(this->requests.starts.size() == 3);
+}
+
+// A reply that was overtaken lists a run that has ended since. It must not keep
+// the server from further tasks.
+BOOST_AUTO_TEST_CASE(reply_overtaken_its_runs_not_taken_for_unknown)
+{
+    this->begin(tokens_per_hold);
+    this->submit(1);
+    this->requests.starts.at(0).second(start_outcome::accepted);
+    const active_run ended{this->requests.starts[0].first.run, 0};
+    this->session->poll_soon();
+    BOOST_REQUIRE_EQUAL(this->requests.polls.size(), 3);
+    poll_reply reply;
+    reply.outcome = poll_outcome::answered;
+    reply.server_clock = this->server_clock + milliseconds(10);
+    reply.ended = {{1, ended.run, run_outcome::done}};
+    this->requests.polls[1].second(reply);
+    this->answer_poll(2, {ended});
+    BOOST_TEST(this->session->is_reachable());
+}
+
 // The server is lost for good, so the task does not wait for its answer.
 BOOST_AUTO_TEST_CASE(start_unanswered_server_lost_task_freed_after_its_delay)
 {
