Count the links of each peer instead of searching them in each tick

closed_link_finder compared all states with all links every 100 ms, which grows with the square of the number of instances: by reading, not measured. It now counts the open links of each peer and drops old states when a new one arrives. closed_link_suite, closed_link_finder_suite, server_session_suite and text_transfer_suite pass.

--- a/src/libjujubedrum/dispatch/closed_link_finder.cpp
+++ b/src/libjujubedrum/dispatch/closed_link_finder.cpp
@@ -30,13 +30,16 @@
 closed_link_finder::update(std::uint64_t link, const instance_boot& peer,
                            const peer_link_state& state, instant now)
 {
-    this->links[link] = {peer, state.link};
+    this->remove_expired(now);
     last_state& last = this->states[peer];
+    if (this->links.insert_or_assign(link, known_link{peer, state.link}).second)
+    {
+        ++last.open_links;
+    }
     if (is_later(state, last.state))
     {
         last.state = state;
     }
-    last.received = now;
     std::vector<std::uint64_t> closed;
     for (const auto& [number, known] : this->links)
     {
@@ -48,21 +51,27 @@
     return closed;
 }
 
-void closed_link_finder::remove_link(std::uint64_t link)
+void closed_link_finder::remove_link(std::uint64_t link, instant now)
 {
-    this->links.erase(link);
+    const auto at = this->links.find(link);
+    if (at == this->links.end())
+    {
+        return;
+    }
+    last_state& last = this->states.at(at->second.peer);
+    --last.open_links;
+    last.unlinked_since = now;
+    this->links.erase(at);
 }
 
 void closed_link_finder::remove_expired(instant now)
 {
     std::erase_if(this->states,
-                  [this, now](const auto& entry)
+                  [now](const auto& entry)
                   {
-                      return now - entry.second.received > retention_time &&
-                             std::none_of(
-                                 this->links.begin(), this->links.end(),
-                                 [&entry](const auto& link)
-                                 { return link.second.peer == entry.first; });
+                      const last_state& last = entry.second;
+                      return last.open_links == 0 &&
+                             now - last.unlinked_since > retention_time;
                   });
 }
 
--- a/src/libjujubedrum/dispatch/closed_link_finder.hpp
+++ b/src/libjujubedrum/dispatch/closed_link_finder.hpp
@@ -2,6 +2,7 @@
 
 #include "base/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -50,8 +51,7 @@
                                       const instance_boot& peer,
                                       const peer_link_state& state,
                                       instant now);
-    void remove_link(std::uint64_t link);
-    void remove_expired(instant now);
+    void remove_link(std::uint64_t link, instant now);
 
 private:
     struct known_link
@@ -62,9 +62,12 @@
     struct last_state
     {
         peer_link_state state;
-        instant received{0};
+        std::size_t open_links = 0; ///< here, from the peer
+        instant unlinked_since{0};  ///< while there is none
     };
 
+    void remove_expired(instant now);
+
     std::map<std::uint64_t, known_link> links;
     std::map<instance_boot, last_state> states;
 };
--- a/src/libruntime/node/peer_mesh.cpp
+++ b/src/libruntime/node/peer_mesh.cpp
@@ -578,7 +578,6 @@
     this->heartbeat_frames.clear();
     this->alive_frames.clear();
     this->close_timed_out_links();
-    this->closed_links.remove_expired(event_loop::now());
     this->dial_missing_members();
     this->update_open_jobs();
     this->send_due_heartbeats();
@@ -781,7 +780,7 @@
                                    ? std::string()
                                    : closed->second->dialed_name;
     this->links.erase(number);
-    this->closed_links.remove_link(number);
+    this->closed_links.remove_link(number, event_loop::now());
     const auto at = this->peers.find(number);
     if (at == this->peers.end())
     {
--- a/tests/unit/dispatch/closed_link_finder_test.cpp
+++ b/tests/unit/dispatch/closed_link_finder_test.cpp
@@ -66,14 +66,16 @@
 
 BOOST_AUTO_TEST_CASE(state_without_open_links_expires)
 {
+    const auto longer = closed_link_finder::retention_time + seconds(1);
     this->update(2, {2}, 2);
-    this->now += closed_link_finder::retention_time + seconds(1);
-    this->finder.remove_expired(this->now);
+    this->now += longer;
     BOOST_CHECK(this->update(1, {1}, 1) == links({11}));
-    this->finder.remove_link(11);
-    this->finder.remove_link(12);
-    this->now += closed_link_finder::retention_time + seconds(1);
-    this->finder.remove_expired(this->now);
+    this->finder.remove_link(11, this->now);
+    this->finder.remove_link(12, this->now);
+    this->now += closed_link_finder::retention_time;
+    BOOST_CHECK(this->update(1, {1}, 1) == links({11}));
+    this->finder.remove_link(11, this->now);
+    this->now += longer;
     BOOST_CHECK(this->update(1, {1}, 1) == links());
 }
 
