--- a/review/standins-3/cases.cmake
+++ b/review/standins-3/cases.cmake
@@ -1,6 +1,7 @@
 # Programs of the review; included by with_cases.cmake.
 add_library(review3_standins STATIC
     ${CMAKE_CURRENT_LIST_DIR}/deployment.cpp
+    ${CMAKE_CURRENT_LIST_DIR}/desk.cpp
     ${CMAKE_CURRENT_LIST_DIR}/worker.cpp
     ${CMAKE_CURRENT_LIST_DIR}/node_runner.cpp
     ${PROJECT_SOURCE_DIR}/tests/soak/fault_relay.cpp)
--- a/review/standins-3/deployment.cpp
+++ b/review/standins-3/deployment.cpp
@@ -154,6 +154,7 @@
     for (const auto& each : this->instances)
     {
         each->process->start();
+        each->started = event_loop::now();
     }
     this->restart_ended();
 }
@@ -306,6 +307,7 @@
                              [node = each.get()]
                              {
                                  node->process->start();
+                                 node->started = event_loop::now();
                                  node->restarted = true;
                              });
         }
--- a/review/standins-3/deployment.hpp
+++ b/review/standins-3/deployment.hpp
@@ -37,6 +37,7 @@
         std::unique_ptr<fault_relay> store; ///< path to the proxy
         std::unique_ptr<node_runner> process;
         bool restarted = true; ///< after it has ended
+        instant started{0};    ///< its present process
     };
     struct backend
     {
--- a/review/standins-3/isolated_cancel_case.cpp
+++ b/review/standins-3/isolated_cancel_case.cpp
@@ -1,12 +1,11 @@
 #include "deployment.hpp"
+#include "desk.hpp"
 
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <optional>
 
-#include <nlohmann/json.hpp>
-
 // A caller cancels its job at an instance that is cut off from the others.
 //
 // Two front instances in zone-a, one in zone-b. The servers of kind b, which
@@ -17,7 +16,6 @@
 {
 
 using namespace jujubedrum;
-using nlohmann::json;
 
 constexpr const char* job_id = "5c0e7a21d94b36f8";
 constexpr milliseconds cancel_bound{3000}; ///< `cancel_ms`
@@ -26,58 +24,7 @@
 constexpr int job_steps = 14;
 constexpr int task_ms = 400;
 constexpr int job_limit_ms = 8000;
-
-json configuration()
-{
-    return {{"version", 1},
-            {"routes",
-             {{{"name", "r-1"},
-               {"host", "desk.example"},
-               {"pathPrefix", "/slip/"},
-               {"kind", "non_idempotent"},
-               {"timeoutMs", job_limit_ms},
-               {"targetLatencyMs", 2000},
-               {"priority", 0},
-               {"backend", "order-desk"},
-               {"maxAttempts", 3},
-               {"stretch", 1.6}}}},
-            {"services",
-             {{{"name", "order-desk"},
-               {"healthPath", "/healthz"},
-               {"maxConns", 64},
-               {"protocol", "h1"},
-               {"tls", false},
-               {"admissionCheck", true},
-               {"standby", false}}}},
-            {"limits",
-             {{"maxHeaderBytes", 16384},
-              {"maxBodyBytes", 262144},
-              {"headerTimeoutMs", 3000},
-              {"idleTimeoutMs", 15000}}}};
-}
-
-/// A chain of short tasks.
-std::string job_body()
-{
-    json steps = json::array();
-    for (int i = 0; i < job_steps; ++i)
-    {
-        json step{{"count", 1},
-                  {"cpu", 6800},
-                  {"memMb", 64},
-                  {"estRuntimeMs", task_ms},
-                  {"constraints", "b"}};
-        if (i > 0)
-        {
-            step["after"] = {i - 1};
-        }
-        steps.push_back(step);
-    }
-    return json{{"taskSpec", std::to_string(task_ms) + " 6800 64"},
-                {"bestEffort", true},
-                {"steps", steps}}
-        .dump();
-}
+constexpr int objective_ms = 2000;
 
 int run(const std::string& program, const std::filesystem::path& folder,
         const std::filesystem::path& record_path, bool trouble)
@@ -109,13 +56,13 @@
             }
         });
     all = &cluster;
-    cluster.publish(configuration().dump());
+    cluster.publish(desk_configuration(job_limit_ms, objective_ms));
     for (int i = 0; i < 4; ++i)
     {
         const bool first_zone = i < 2;
         cluster.add_worker({"i-7f3a91c" + std::to_string(i),
                             first_zone ? "zone-a" : "zone-b",
-                            "order-desk",
+                            desk_service,
                             16000,
                             32768,
                             {first_zone ? "a" : "b", "r1-1"},
@@ -140,11 +87,11 @@
     int job_status = -1;
     http_call submit;
     submit.method = "POST";
-    submit.target = std::string("/slip/") + job_id;
-    submit.host = "desk.example";
+    submit.target = std::string(desk_prefix) + job_id;
+    submit.host = desk_host;
     submit.headers = {
         {"X-Jujubedrum-Deadline-Ms", std::to_string(job_limit_ms)}};
-    submit.body = job_body();
+    submit.body = chain_job(job_steps, task_ms, "b");
     submit.timeout = milliseconds(job_limit_ms);
     cluster.note(std::string("POST ") + job_id + " at front-a1");
     first->call(std::move(submit),
@@ -169,8 +116,8 @@
     int cancel_status = -1;
     http_call cancel;
     cancel.method = "DELETE";
-    cancel.target = std::string("/slip/") + job_id;
-    cancel.host = "desk.example";
+    cancel.target = std::string(desk_prefix) + job_id;
+    cancel.host = desk_host;
     cancel.timeout = milliseconds(3000);
     cluster.note(std::string("DELETE ") + job_id + " at front-a2");
     second->call(std::move(cancel),
