--- /dev/null
+++ b/review/standins-3/late_reborn_case.cpp
@@ -0,0 +1,239 @@
+#include "deployment.hpp"
+#include "desk.hpp"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <set>
+
+// A server leaves a start unanswered, is cut off, crashes behind the cut and
+// starts again. The start is carried out late, by its next boot. Meanwhile the
+// caller's next attempt runs the task in another zone.
+//
+// One front instance in each of two zones. The first attempt arrives at
+// front-a, the second one at front-b.
+
+namespace
+{
+
+using namespace jujubedrum;
+
+constexpr const char* job_id = "5c0e7a21d94b36f8";
+constexpr milliseconds resend_delay{1300}; ///< `resendMs`
+constexpr int job_limit_ms = 1500;         ///< of the small sites
+constexpr int objective_ms = 60;
+constexpr int task_ms = 900;
+/// After the start was sent. Orders are carried out 2 to 12 s late.
+constexpr milliseconds carried_out{3000};
+constexpr milliseconds cut_begins{20};
+constexpr milliseconds crash_at{1000};
+constexpr milliseconds cut_ends{5500};
+constexpr milliseconds observation_time{8000};
+constexpr milliseconds other_job_interval{100};
+constexpr int other_task_ms = 50;
+
+class late_reborn
+{
+public:
+    late_reborn(const std::string& program, const std::filesystem::path& folder,
+                std::ostream& record, bool with_trouble)
+        : trouble(with_trouble)
+        , cluster(this->loop, program, folder, record,
+                  [this](const worker_event& event) { this->on_event(event); })
+    {
+    }
+
+    int run()
+    {
+        this->cluster.publish(desk_configuration(job_limit_ms, objective_ms));
+        for (int i = 0; i < 6; ++i)
+        {
+            this->cluster.add_worker({"i-7f3a91c" + std::to_string(i),
+                                      i < 3 ? "zone-a" : "zone-b",
+                                      desk_service,
+                                      16000,
+                                      32768,
+                                      {i % 3 == 0 ? "b" : "a", "r1-1"},
+                                      true});
+        }
+        this->cluster.add_instance("front-a", "zone-a");
+        this->cluster.add_instance("front-b", "zone-b");
+        this->cluster.start();
+        if (!this->cluster.await_ready(milliseconds(15000)))
+        {
+            this->cluster.note("the instances did not become ready");
+            return 2;
+        }
+        this->wait(milliseconds(1500));
+        auto& backend = *this->cluster.workers[0];
+        if (this->trouble)
+        {
+            backend.standin->set_late(1000, carried_out, true);
+        }
+        this->submit_others();
+        this->wait(milliseconds(1000));
+        this->attempt(0);
+        const instant begin = event_loop::now();
+        if (this->trouble)
+        {
+            this->wait(cut_begins);
+            backend.standin->set_late(0, milliseconds(0), true);
+            this->cluster.note("i-7f3a91c0 is cut off");
+            backend.path->blackhole(true, true);
+            backend.listed = false;
+            this->wait_until(begin + crash_at);
+            backend.standin->crash();
+            this->wait_until(begin + cut_ends);
+            this->cluster.note("the cut ends");
+            backend.path->heal();
+            backend.listed = true;
+        }
+        this->wait_until(begin + observation_time);
+        this->cluster.note("starts of other jobs: " +
+                           std::to_string(this->other_starts));
+        this->cluster.note("starts while the task ran elsewhere: " +
+                           std::to_string(this->overlaps));
+        if (this->overlaps > 0)
+        {
+            this->cluster.note("TWICE is broken");
+            return 1;
+        }
+        if (this->starts == 0)
+        {
+            this->cluster.note("the job did not run");
+            return 2;
+        }
+        this->cluster.note("the rule held");
+        return 0;
+    }
+
+private:
+    void wait(milliseconds time)
+    {
+        this->loop.run_until([] { return false; }, time);
+    }
+
+    void wait_until(instant time)
+    {
+        this->loop.run_until([time] { return event_loop::now() >= time; },
+                             milliseconds(20000));
+    }
+
+    /// Sends a job for the servers of kind a now and at each interval.
+    void submit_others()
+    {
+        char id[17];
+        std::snprintf(id, sizeof(id), "00000000%08zx", this->others);
+        http_call call;
+        call.method = "POST";
+        call.target = std::string(desk_prefix) + id;
+        call.host = desk_host;
+        call.headers = {
+            {"X-Jujubedrum-Deadline-Ms", std::to_string(job_limit_ms)}};
+        call.body = chain_job(1, other_task_ms, "a");
+        call.timeout = milliseconds(job_limit_ms);
+        const std::size_t target = this->others % 2;
+        if (!this->other_callers[target])
+        {
+            this->other_callers[target] =
+                this->cluster.caller(*this->cluster.instances[target]);
+        }
+        this->other_callers[target]->call(std::move(call),
+                                          [](const http_reply&) {});
+        ++this->others;
+        this->loop.after(other_job_interval, [this] { this->submit_others(); });
+    }
+
+    void attempt(std::size_t number)
+    {
+        const auto& target = *this->cluster.instances[number];
+        http_call call;
+        call.method = "POST";
+        call.target = std::string(desk_prefix) + job_id;
+        call.host = desk_host;
+        call.headers = {
+            {"X-Jujubedrum-Deadline-Ms", std::to_string(job_limit_ms)}};
+        call.body = chain_job(1, task_ms, "b");
+        // The answer to an attempt whose time is over still arrives.
+        call.timeout = milliseconds(job_limit_ms + 200);
+        this->cluster.note(std::string("POST ") + job_id + " at " +
+                           target.name);
+        this->cluster.caller(target)->call(
+            std::move(call),
+            [this, number](const http_reply& reply)
+            {
+                this->cluster.note(
+                    "answer to the POST: " + std::to_string(reply.status) +
+                    " " + reply.body + reply.error);
+                const bool again = reply.status == 0 || reply.status == 502 ||
+                                   reply.status == 504;
+                if (again && number == 0)
+                {
+                    this->loop.after(resend_delay,
+                                     [this] { this->attempt(1); });
+                }
+            });
+    }
+
+    void on_event(const worker_event& event)
+    {
+        if (!event.task.empty() && !event.task.starts_with(job_id))
+        {
+            this->other_starts += event.kind == "start" ? 1 : 0;
+            return;
+        }
+        std::string suffix;
+        if (event.kind == "start")
+        {
+            ++this->starts;
+            if (!this->running.empty())
+            {
+                ++this->overlaps;
+                suffix = "  WHILE IT RUNS AT " + *this->running.begin();
+            }
+            this->running.insert(event.worker);
+        }
+        else if (event.kind == "end")
+        {
+            this->running.erase(event.worker);
+        }
+        this->cluster.note(event.kind + " " + event.task + " at " +
+                           event.worker + " " +
+                           (event.kind == "end" ? event.detail : "") + suffix);
+    }
+
+    event_loop loop;
+    bool trouble;
+    deployment cluster;
+    std::set<std::string> running; ///< servers that run the task
+    std::size_t starts = 0;
+    std::size_t overlaps = 0;
+    std::size_t others = 0;
+    std::size_t other_starts = 0;
+    std::shared_ptr<http_client> other_callers[2];
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    if (argc != 4)
+    {
+        std::cerr << "usage: review3_late_reborn_case NODE FOLDER RECORD\n";
+        return 2;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    const char* trouble = std::getenv("TROUBLE");
+    try
+    {
+        std::ofstream record(argv[3]);
+        return late_reborn(argv[1], argv[2], record,
+                           trouble == nullptr || std::string(trouble) != "0")
+            .run();
+    }
+    catch (const std::exception& error)
+    {
+        std::cerr << error.what() << "\n";
+        return 2;
+    }
+}
