--- a/review/standins-3/worker.cpp
+++ b/review/standins-3/worker.cpp
@@ -152,11 +152,19 @@
     if (this->draws % 1000 < this->late_share &&
         (!this->late_starts_only || request.target == "/v1/run-start"))
     {
+        http_request late = request;
+        json order = json::parse(request.body);
+        if (order.contains("deadlineMs"))
+        {
+            order["deadlineMs"] =
+                order["deadlineMs"].get<std::int64_t>() + this->late_by.count();
+            late.body = order.dump();
+        }
         this->loop.after(this->late_by,
-                         [execute, request]
+                         [execute, late]
                          {
                              std::string unused;
-                             execute(request, unused);
+                             execute(late, unused);
                          });
         return;
     }
--- a/review/standins-3/worker.hpp
+++ b/review/standins-3/worker.hpp
@@ -56,7 +56,8 @@
     }
     /// While set, requests get no answer and are not carried out.
     void set_silent(bool value) { this->silent = value; }
-    /// Carries out each request after the delay, without an answer.
+    /// Carries out a share of the requests after the delay, without an answer.
+    /// Their times count from then.
     /// \param share of the requests, 0 to 1000.
     void set_late(std::uint32_t share, milliseconds by, bool starts_only);
     /// Starts again under the same id: nothing runs, no fence number is known
