--- a/review/standins-3/worker.cpp
+++ b/review/standins-3/worker.cpp
@@ -146,12 +146,14 @@
         responder->answer({421, ""});
         return;
     }
+    ++this->all_orders;
     this->draws ^= this->draws << 13U;
     this->draws ^= this->draws >> 7U;
     this->draws ^= this->draws << 17U;
     if (this->draws % 1000 < this->late_share &&
         (!this->late_starts_only || request.target == "/v1/run-start"))
     {
+        ++this->late_count;
         http_request late = request;
         json order = json::parse(request.body);
         if (order.contains("deadlineMs"))
--- a/review/standins-3/worker.hpp
+++ b/review/standins-3/worker.hpp
@@ -65,6 +65,9 @@
     void crash();
     [[nodiscard]] bool over_capacity() const;
     [[nodiscard]] std::size_t running() const { return this->runs.size(); }
+    /// Numbers of orders received, and of those to be carried out late.
+    [[nodiscard]] std::size_t orders() const { return this->all_orders; }
+    [[nodiscard]] std::size_t late_orders() const { return this->late_count; }
 
 private:
     struct run_state
@@ -118,6 +121,8 @@
     std::vector<waiting_poll> polls;
     bool draining = false;
     bool silent = false;
+    std::size_t all_orders = 0;
+    std::size_t late_count = 0;
     std::uint32_t late_share = 0;
     milliseconds late_by{0};
     bool late_starts_only = false;
